--- /dev/null
+++ b/core/src/main/java/org/lentilhinge/forward/ForwardConfiguration.java
@@ -0,0 +1,32 @@
+package org.lentilhinge.forward;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Holds one whole configuration of the forwarding path.
+ *
+ * @param version the version, which only rises
+ * @param routes all routes
+ * @param services the services by name
+ * @param limits what callers may send
+ */
+public record ForwardConfiguration(
+    long version,
+    List<ForwardRoute> routes,
+    Map<String, ForwardService> services,
+    ForwardLimits limits) {
+
+  /**
+   * Copies the collections.
+   *
+   * @param version the version
+   * @param routes the routes
+   * @param services the services
+   * @param limits the limits
+   */
+  public ForwardConfiguration {
+    routes = List.copyOf(routes);
+    services = Map.copyOf(services);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/lentilhinge/forward/RouteTable.java
@@ -0,0 +1,58 @@
+package org.lentilhinge.forward;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** Finds the route of a request: of its host's routes the one with the longest matching prefix. */
+public final class RouteTable {
+
+  private final Map<String, Map<String, ForwardRoute>> routes = new HashMap<>();
+
+  /**
+   * Makes a table.
+   *
+   * @param routes the routes; of two with the same host and prefix the later one holds
+   */
+  public RouteTable(List<ForwardRoute> routes) {
+    for (ForwardRoute route : routes) {
+      this.routes.computeIfAbsent(route.host(), host -> new HashMap<>()).put(route.prefix(), route);
+    }
+  }
+
+  /**
+   * Finds a route.
+   *
+   * @param hostHeader the request's host, with or without a port
+   * @param target the request's path and query
+   * @return the route, or empty if none matches
+   */
+  public Optional<ForwardRoute> find(String hostHeader, String target) {
+    Map<String, ForwardRoute> ofHost = routes.get(hostName(hostHeader));
+    if (ofHost == null) {
+      return Optional.empty();
+    }
+    String path = path(target);
+    // Each prefix ends with a slash, so that only these places of the path can end one.
+    for (int end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+      ForwardRoute route = ofHost.get(path.substring(0, end + 1));
+      if (route != null) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static String hostName(String hostHeader) {
+    int colon = hostHeader.lastIndexOf(':');
+    String name = colon < 0 ? hostHeader : hostHeader.substring(0, colon);
+    return name.toLowerCase(Locale.ROOT);
+  }
+
+  private static String path(String target) {
+    int query = target.indexOf('?');
+    return query < 0 ? target : target.substring(0, query);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/lentilhinge/permit/DeskSettings.java
@@ -0,0 +1,13 @@
+package org.lentilhinge.permit;
+
+/**
+ * Bounds what one engine is given.
+ *
+ * @param batchSlots the requests that run at once
+ * @param memoryTokens the tokens of running requests that fit
+ * @param adapterSlots the adapters that fit
+ * @param maximumLoads the adapters that may be on their way at once
+ * @param backlogMillis the reading of prompts that may lie before a request at the engine
+ */
+public record DeskSettings(
+    int batchSlots, int memoryTokens, int adapterSlots, int maximumLoads, long backlogMillis) {}
--- /dev/null
+++ b/core/src/main/java/org/lentilhinge/permit/EngineBoard.java
@@ -0,0 +1,157 @@
+package org.lentilhinge.permit;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.lentilhinge.fleet.FleetEndpoint;
+import org.lentilhinge.forward.ZoneDistances;
+import org.lentilhinge.lease.RendezvousHash;
+
+/**
+ * Chooses the engine for a request from the notices of all holders: the one that will send the
+ * first event soonest, where each adapter has a home among the engines near this host.
+ */
+public final class EngineBoard {
+
+  /** A notice older than this says nothing, in milliseconds. */
+  private static final long NOTICE_MILLIS = 2_500;
+
+  /** What a load costs at the adapter's home, which probably held it lately, in milliseconds. */
+  private static final double HOME_LOAD_MILLIS = 120;
+
+  /** What a load costs elsewhere, in milliseconds. */
+  private static final double LOAD_MILLIS = 300;
+
+  /** What each request that waits for a slot adds, in milliseconds. */
+  private static final double WAITING_MILLIS = 150;
+
+  /** What having no slot to give adds, in milliseconds. */
+  private static final double FULL_MILLIS = 300;
+
+  private final Map<String, Noted> notices = new HashMap<>();
+
+  /** Makes a board without notices. */
+  public EngineBoard() {}
+
+  private record Noted(String host, EngineNotice notice, long atMillis) {}
+
+  /**
+   * Takes a notice.
+   *
+   * @param host the host that sent it
+   * @param notice the notice
+   * @param nowMillis the time
+   */
+  public void noted(String host, EngineNotice notice, long nowMillis) {
+    Noted former = notices.get(notice.life());
+    boolean stronger = former == null || former.host().equals(host) || notice.holding();
+    if (stronger || nowMillis - former.atMillis() > NOTICE_MILLIS) {
+      notices.put(notice.life(), new Noted(host, notice, nowMillis));
+    }
+  }
+
+  /**
+   * Forgets what a host said.
+   *
+   * @param host the host that is gone
+   */
+  public void hostGone(String host) {
+    notices.values().removeIf(noted -> noted.host().equals(host));
+  }
+
+  /**
+   * Forgets an engine.
+   *
+   * @param life the life that is gone
+   */
+  public void forget(String life) {
+    notices.remove(life);
+  }
+
+  /**
+   * Finds the host that decides for an engine.
+   *
+   * @param life the engine's life
+   * @param nowMillis the time
+   * @return the host of the newest notice that still counts
+   */
+  public Optional<String> host(String life, long nowMillis) {
+    return current(life, nowMillis).map(Noted::host);
+  }
+
+  private Optional<Noted> current(String life, long nowMillis) {
+    return Optional.ofNullable(notices.get(life))
+        .filter(noted -> nowMillis - noted.atMillis() <= NOTICE_MILLIS);
+  }
+
+  /**
+   * Chooses an engine.
+   *
+   * @param engines the engines that may be used
+   * @param excluded the lives that refused the request
+   * @param adapter the adapter's name, or an empty text
+   * @param distances how far each zone is
+   * @param nowMillis the time
+   * @return the engine with the least wait to expect
+   */
+  public Optional<FleetEndpoint> choose(
+      Collection<FleetEndpoint> engines,
+      Set<String> excluded,
+      String adapter,
+      ZoneDistances distances,
+      long nowMillis) {
+    Optional<String> home = home(engines, adapter, distances);
+    return engines.stream()
+        .filter(engine -> !excluded.contains(engine.life()))
+        .min(
+            (first, second) ->
+                Double.compare(
+                    costMillis(first, adapter, home, distances, nowMillis),
+                    costMillis(second, adapter, home, distances, nowMillis)));
+  }
+
+  /** Finds the adapter's home among the engines of the nearest region that has any. */
+  private static Optional<String> home(
+      Collection<FleetEndpoint> engines, String adapter, ZoneDistances distances) {
+    return engines.stream()
+        .min(
+            (first, second) -> {
+              int byRegion =
+                  Boolean.compare(
+                      distances.isOtherRegion(first.zone()),
+                      distances.isOtherRegion(second.zone()));
+              return byRegion != 0
+                  ? byRegion
+                  : Long.compareUnsigned(
+                      RendezvousHash.weight(adapter, second.id()),
+                      RendezvousHash.weight(adapter, first.id()));
+            })
+        .map(FleetEndpoint::life);
+  }
+
+  private double costMillis(
+      FleetEndpoint engine,
+      String adapter,
+      Optional<String> home,
+      ZoneDistances distances,
+      long nowMillis) {
+    double cost = distances.millis(engine.zone());
+    Optional<EngineNotice> notice = current(engine.life(), nowMillis).map(Noted::notice);
+    boolean there =
+        adapter.isEmpty() || notice.filter(known -> known.adapters().contains(adapter)).isPresent();
+    if (!there) {
+      cost += home.equals(Optional.of(engine.life())) ? HOME_LOAD_MILLIS : LOAD_MILLIS;
+    }
+    if (notice.isPresent()) {
+      cost += notice.get().backlogMillis();
+      if (!there) {
+        cost += notice.get().waiting() * WAITING_MILLIS;
+        cost += notice.get().freeSlots() == 0 ? FULL_MILLIS : 0;
+        cost += notice.get().holding() ? 0 : LOAD_MILLIS;
+      }
+    }
+    return cost;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/lentilhinge/permit/EngineDesk.java
@@ -0,0 +1,423 @@
+package org.lentilhinge.permit;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides for one life of an engine which requests may be sent, which wait and which are refused,
+ * and which adapters are loaded and unloaded for them. Requests for an adapter that is there run at
+ * once; the others wait for a slot, the most urgent that can still be on time first.
+ */
+public final class EngineDesk {
+
+  /** The time that a request for an absent adapter waits before a used adapter is closed for it. */
+  private static final long CLOSE_AFTER_MILLIS = 150;
+
+  /** Waiting longer than this part of its aim is no use: it comes back, or another engine helps. */
+  private static final double PATIENCE = 1.2;
+
+  /** The time in which a slot typically turns over: a load, a prompt and some events. */
+  private static final double TURNOVER_MILLIS = 900;
+
+  /** The time that a request needs at the engine beyond its wait, before its deadline. */
+  private static final long LEAST_RUN_MILLIS = 300;
+
+  private static final long LEAST_RETRY_MILLIS = 100;
+
+  private final DeskSettings settings;
+  private final String model;
+  private final AdapterSlots slots;
+  private final AdapterDemand demand = new AdapterDemand();
+  private final PromptBacklog backlog;
+  private final Map<String, Waiting> waiting = new LinkedHashMap<>();
+  private final Map<String, Running> running = new LinkedHashMap<>();
+  private Optional<String> closed = Optional.empty();
+  private boolean modelPresent;
+  private boolean modelOrdered;
+  private boolean ordering;
+  private int runningTokens;
+
+  /** The slots that become free for adapters that wait, and are not counted on by one yet. */
+  private int unclaimedSlots;
+
+  private record Waiting(String host, PermitAsk ask, long arrivedMillis) {
+
+    long aimAtMillis() {
+      return arrivedMillis + ask.aimMillis();
+    }
+
+    boolean canBeOnTime(long nowMillis) {
+      return nowMillis < aimAtMillis();
+    }
+  }
+
+  private record Running(String host, PermitAsk ask) {}
+
+  /**
+   * Opens a desk.
+   *
+   * @param settings the engine's bounds
+   * @param model the base model that the engine serves
+   * @param modelPresent whether the engine holds the model
+   * @param promptTokensPerMilli the tokens of prompts that the engine reads in a millisecond
+   */
+  public EngineDesk(
+      DeskSettings settings, String model, boolean modelPresent, double promptTokensPerMilli) {
+    this.settings = settings;
+    this.model = model;
+    this.modelPresent = modelPresent;
+    this.slots = new AdapterSlots(settings.adapterSlots());
+    this.backlog = new PromptBacklog(promptTokensPerMilli);
+  }
+
+  /**
+   * Takes what the engine says that it holds. Adapters that it does not name are gone, unless they
+   * are on their way.
+   *
+   * @param holdsModel whether it holds the base model
+   * @param adapters the versions of the adapters that are there, by name
+   * @param coming the versions of the adapters that are on their way, by name
+   * @param nowMillis the time
+   */
+  public void reported(
+      boolean holdsModel, Map<String, Long> adapters, Map<String, Long> coming, long nowMillis) {
+    modelPresent = holdsModel;
+    slots.clear();
+    adapters.forEach(
+        (name, version) -> slots.put(name, version, AdapterSlot.State.RESIDENT, nowMillis));
+    coming.forEach(
+        (name, version) -> slots.put(name, version, AdapterSlot.State.LOADING, nowMillis));
+    for (Running run : running.values()) {
+      slots.find(run.ask().adapter()).ifPresent(slot -> slot.users++);
+    }
+  }
+
+  /**
+   * Tells whether this host may order the engine. Without that, adapters that are there are served
+   * and nothing is loaded.
+   *
+   * @param allowed whether orders can be carried out
+   */
+  public void ordering(boolean allowed) {
+    ordering = allowed;
+  }
+
+  /**
+   * Takes an ask.
+   *
+   * @param host the host that asks
+   * @param ask the ask
+   * @param nowMillis the time
+   * @return a refusal if it is certain already, or what follows
+   */
+  public List<DeskCommand> ask(String host, PermitAsk ask, long nowMillis) {
+    demand.asked(ask.adapter(), nowMillis);
+    boolean there = ask.adapter().isEmpty() || slots.find(ask.adapter()).isPresent();
+    if (!ordering && !(there && modelPresent)) {
+      return List.of(refusal(host, ask, LEAST_RETRY_MILLIS, "no-holder", 0));
+    }
+    long expected = expectedWaitMillis(ask, nowMillis);
+    if (expected > ask.aimMillis() && expected > LEAST_RUN_MILLIS) {
+      return List.of(refusal(host, ask, expected, "no-room", 0));
+    }
+    waiting.put(key(host, ask.ask()), new Waiting(host, ask, nowMillis));
+    return decide(nowMillis);
+  }
+
+  private long expectedWaitMillis(PermitAsk ask, long nowMillis) {
+    long reading = Math.max(0, backlog.millis(nowMillis) - settings.backlogMillis());
+    boolean there =
+        ask.adapter().isEmpty()
+            || slots.find(ask.adapter()).isPresent()
+            || slots.available() > 0
+            || waiting.values().stream().anyMatch(one -> sameAdapter(one.ask(), ask));
+    if (there) {
+      return reading;
+    }
+    Set<String> absent = new HashSet<>();
+    for (Waiting one : waiting.values()) {
+      if (slots.find(one.ask().adapter()).isEmpty()) {
+        absent.add(one.ask().adapter());
+      }
+    }
+    double turns = (absent.size() + 1.0) / Math.max(1, settings.adapterSlots());
+    return Math.max(reading, Math.round(turns * TURNOVER_MILLIS));
+  }
+
+  private static boolean sameAdapter(PermitAsk first, PermitAsk second) {
+    return first.adapter().equals(second.adapter());
+  }
+
+  /**
+   * Takes a permit back, or withdraws an ask.
+   *
+   * @param host the host that had asked
+   * @param end how it ended
+   * @param nowMillis the time
+   * @return what follows
+   */
+  public List<DeskCommand> ended(String host, PermitEnd end, long nowMillis) {
+    waiting.remove(key(host, end.ask()));
+    Running run = running.remove(key(host, end.ask()));
+    if (run == null) {
+      return decide(nowMillis);
+    }
+    runningTokens -= tokens(run.ask());
+    Optional<AdapterSlot> slot = slots.find(run.ask().adapter());
+    slot.ifPresent(
+        found -> {
+          found.users = Math.max(0, found.users - 1);
+          found.usedMillis = nowMillis;
+        });
+    if (end.ending() == PermitEnd.Ending.ABSENT && run.ask().adapter().isEmpty()) {
+      modelPresent = false;
+    } else if (end.ending() == PermitEnd.Ending.ABSENT) {
+      return reload(run.ask(), slot, nowMillis);
+    }
+    return decide(nowMillis);
+  }
+
+  /** Orders an adapter anew that the engine said it lacks; its slot counts as taken meanwhile. */
+  private List<DeskCommand> reload(PermitAsk ask, Optional<AdapterSlot> slot, long nowMillis) {
+    List<DeskCommand> commands = new ArrayList<>();
+    if (ordering && slot.isPresent() && slot.get().state == AdapterSlot.State.RESIDENT) {
+      load(ask, "said-absent", nowMillis, commands);
+    }
+    commands.addAll(decide(nowMillis));
+    return commands;
+  }
+
+  /**
+   * Forgets the asks and permits of a host that is gone.
+   *
+   * @param host the host
+   * @param nowMillis the time
+   * @return what follows
+   */
+  public List<DeskCommand> hostGone(String host, long nowMillis) {
+    waiting.values().removeIf(one -> one.host().equals(host));
+    List<DeskCommand> commands = new ArrayList<>();
+    for (Running run : List.copyOf(running.values())) {
+      if (run.host().equals(host)) {
+        PermitEnd end = new PermitEnd(run.ask().ask(), PermitEnd.Ending.DONE);
+        commands.addAll(ended(host, end, nowMillis));
+      }
+    }
+    return commands;
+  }
+
+  /**
+   * Notes that an order was carried out or has failed.
+   *
+   * @param order the order
+   * @param done whether it was carried out
+   * @param nowMillis the time
+   * @return what follows
+   */
+  public List<DeskCommand> ordered(AdapterOrder order, boolean done, long nowMillis) {
+    if (order.adapter().isEmpty()) {
+      modelOrdered = false;
+      modelPresent |= done;
+      return decide(nowMillis);
+    }
+    Optional<AdapterSlot> slot = slots.find(order.adapter());
+    if (order.load() && done) {
+      slot.ifPresent(
+          found -> {
+            found.state = AdapterSlot.State.RESIDENT;
+            found.version = Math.max(found.version, order.version());
+            found.changedMillis = nowMillis;
+            found.usedMillis = nowMillis;
+          });
+    } else if (order.load() || done) {
+      slots.remove(order.adapter());
+    } else {
+      slot.ifPresent(found -> found.state = AdapterSlot.State.RESIDENT);
+    }
+    return decide(nowMillis);
+  }
+
+  /**
+   * Decides what can be decided now.
+   *
+   * @param nowMillis the time
+   * @return what has to be done, in this order
+   */
+  public List<DeskCommand> decide(long nowMillis) {
+    List<DeskCommand> commands = new ArrayList<>();
+    giveUp(nowMillis, commands);
+    if (!modelPresent) {
+      orderModel(commands);
+      return commands;
+    }
+    List<Waiting> order = new ArrayList<>(waiting.values());
+    order.sort(
+        Comparator.<Waiting>comparingInt(one -> one.canBeOnTime(nowMillis) ? 0 : 1)
+            .thenComparingLong(Waiting::aimAtMillis));
+    Set<String> wanted = new HashSet<>();
+    order.forEach(one -> wanted.add(one.ask().adapter()));
+    unclaimedSlots = slots.unloading();
+    for (Waiting one : order) {
+      decide(one, wanted, nowMillis, commands);
+    }
+    return commands;
+  }
+
+  private void orderModel(List<DeskCommand> commands) {
+    if (ordering && !modelOrdered && !waiting.isEmpty()) {
+      modelOrdered = true;
+      commands.add(new DeskCommand.Order(new AdapterOrder(true, model, "", 0), "model-absent"));
+    }
+  }
+
+  private void decide(Waiting one, Set<String> wanted, long nowMillis, List<DeskCommand> commands) {
+    PermitAsk ask = one.ask();
+    Optional<AdapterSlot> slot = slots.find(ask.adapter());
+    if (ask.adapter().isEmpty()) {
+      grant(one, Optional.empty(), nowMillis, commands);
+    } else if (slot.isEmpty()) {
+      makeRoom(one, wanted, nowMillis, commands);
+    } else if (slot.get().state == AdapterSlot.State.RESIDENT) {
+      if (ordering && slot.get().version < ask.version()) {
+        load(ask, "version-announced", nowMillis, commands);
+      } else if (slot.get().version >= ask.version()
+          && !closed.equals(Optional.of(ask.adapter()))) {
+        grant(one, slot, nowMillis, commands);
+      }
+    }
+  }
+
+  private void grant(
+      Waiting one, Optional<AdapterSlot> slot, long nowMillis, List<DeskCommand> commands) {
+    int tokens = tokens(one.ask());
+    boolean fits =
+        running.size() < settings.batchSlots()
+            && (running.isEmpty() || runningTokens + tokens <= settings.memoryTokens())
+            && backlog.millis(nowMillis) <= settings.backlogMillis();
+    if (!fits) {
+      return;
+    }
+    String key = key(one.host(), one.ask().ask());
+    waiting.remove(key);
+    running.put(key, new Running(one.host(), one.ask()));
+    runningTokens += tokens;
+    backlog.add(one.ask().promptTokens(), nowMillis);
+    slot.ifPresent(
+        found -> {
+          found.users++;
+          found.usedMillis = nowMillis;
+        });
+    commands.add(
+        new DeskCommand.Answer(
+            one.host(),
+            new PermitAnswer(one.ask().ask(), true, 0, "resident"),
+            nowMillis - one.arrivedMillis()));
+  }
+
+  private void makeRoom(
+      Waiting one, Set<String> wanted, long nowMillis, List<DeskCommand> commands) {
+    if (!ordering || slots.loading() >= settings.maximumLoads()) {
+      return;
+    }
+    if (slots.free() > 0) {
+      load(one.ask(), "absent", nowMillis, commands);
+      return;
+    }
+    if (unclaimedSlots > 0) {
+      unclaimedSlots--;
+      return;
+    }
+    Optional<AdapterSlot> victim = slots.victim(wanted, demand, nowMillis);
+    if (victim.isEmpty() && nowMillis - one.arrivedMillis() >= CLOSE_AFTER_MILLIS) {
+      victim = closeOne(nowMillis);
+    }
+    victim.ifPresent(
+        slot -> {
+          slot.state = AdapterSlot.State.UNLOADING;
+          closed = closed.filter(name -> !name.equals(slot.adapter));
+          AdapterOrder order = new AdapterOrder(false, model, slot.adapter, 0);
+          commands.add(new DeskCommand.Order(order, "for:" + one.ask().adapter()));
+        });
+  }
+
+  /** Closes the adapter that the fewest use, until its runs have ended and it can make way. */
+  private Optional<AdapterSlot> closeOne(long nowMillis) {
+    Optional<AdapterSlot> current = closed.flatMap(slots::find);
+    if (current.isEmpty()) {
+      current =
+          slots.all().stream()
+              .filter(slot -> slot.state == AdapterSlot.State.RESIDENT)
+              .min(
+                  Comparator.<AdapterSlot>comparingInt(slot -> slot.users)
+                      .thenComparingDouble(slot -> demand.of(slot.adapter, nowMillis)));
+      closed = current.map(slot -> slot.adapter);
+    }
+    return current.filter(AdapterSlot::isIdle);
+  }
+
+  private void load(PermitAsk ask, String reason, long nowMillis, List<DeskCommand> commands) {
+    Optional<AdapterSlot> former = slots.find(ask.adapter());
+    AdapterSlot slot =
+        former.orElseGet(
+            () -> slots.put(ask.adapter(), ask.version(), AdapterSlot.State.LOADING, nowMillis));
+    slot.state = AdapterSlot.State.LOADING;
+    slot.changedMillis = nowMillis;
+    AdapterOrder order = new AdapterOrder(true, model, ask.adapter(), ask.version());
+    commands.add(new DeskCommand.Order(order, reason));
+  }
+
+  private void giveUp(long nowMillis, List<DeskCommand> commands) {
+    for (Waiting one : List.copyOf(waiting.values())) {
+      long waited = nowMillis - one.arrivedMillis();
+      boolean hopeless = waited + LEAST_RUN_MILLIS >= one.ask().deadlineMillis();
+      if (hopeless || waited >= one.ask().aimMillis() * PATIENCE) {
+        waiting.remove(key(one.host(), one.ask().ask()));
+        long expected = expectedWaitMillis(one.ask(), nowMillis);
+        commands.add(refusal(one.host(), one.ask(), expected, "waited-in-vain", waited));
+      }
+    }
+  }
+
+  private static DeskCommand refusal(
+      String host, PermitAsk ask, long expectedMillis, String reason, long waitedMillis) {
+    long retry = Math.max(LEAST_RETRY_MILLIS, expectedMillis);
+    PermitAnswer answer = new PermitAnswer(ask.ask(), false, retry, reason);
+    return new DeskCommand.Answer(host, answer, waitedMillis);
+  }
+
+  /**
+   * Describes the engine for the other hosts.
+   *
+   * @param life the engine's life
+   * @param holding whether this host may order the engine
+   * @param nowMillis the time
+   * @return the notice
+   */
+  public EngineNotice notice(String life, boolean holding, long nowMillis) {
+    return new EngineNotice(
+        life, holding, slots.names(), backlog.millis(nowMillis), slots.available(), waiting.size());
+  }
+
+  /**
+   * Tells whether anybody waits or runs.
+   *
+   * @return whether the desk has anything in hand
+   */
+  public boolean isBusy() {
+    return !waiting.isEmpty() || !running.isEmpty();
+  }
+
+  private static int tokens(PermitAsk ask) {
+    return ask.promptTokens() + ask.outputTokens();
+  }
+
+  private static String key(String host, long ask) {
+    return host + '#' + ask;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/lentilhinge/fleet/EndpointRegistryTest.java
@@ -0,0 +1,68 @@
+package org.lentilhinge.fleet;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Tests what is believed of endpoints from listings that may be old, late or false. */
+public class EndpointRegistryTest {
+
+  private final EndpointRegistry registry = new EndpointRegistry();
+
+  private static FleetEndpoint entry(long started, EndpointState state, long revision) {
+    return new FleetEndpoint(
+        "one", started, "s", "10.0.0.1:80", "a", state, 0, revision, List.of());
+  }
+
+  @Test
+  public void drainedLifeNeverTakesNewWorkAgain() {
+    EndpointRegistryTest fresh = new EndpointRegistryTest();
+    fresh.registry.observe(List.of(entry(1, EndpointState.DRAINING, 5)), 0);
+    fresh.registry.observe(List.of(entry(1, EndpointState.READY, 6)), 1_000);
+    assertTrue(fresh.registry.usable("s").isEmpty());
+  }
+
+  @Test
+  public void restartUnderTheSameIdIsAnotherLife() {
+    EndpointRegistryTest fresh = new EndpointRegistryTest();
+    FleetEndpoint former = entry(1, EndpointState.READY, 5);
+    fresh.registry.observe(List.of(former), 0);
+    List<FleetChange> changes =
+        fresh.registry.observe(List.of(entry(2, EndpointState.READY, 6)), 1_000);
+    assertEquals(
+        changes.stream().map(FleetChange::kind).toList(),
+        List.of(FleetChange.Kind.GONE, FleetChange.Kind.JOINED));
+    assertFalse(fresh.registry.isUsable(former));
+  }
+
+  @Test
+  public void earlierLifeThatAppearsLateIsPassedOver() {
+    EndpointRegistryTest fresh = new EndpointRegistryTest();
+    fresh.registry.observe(List.of(entry(2, EndpointState.READY, 6)), 0);
+    assertTrue(fresh.registry.observe(List.of(entry(1, EndpointState.DRAINING, 7)), 100).isEmpty());
+    assertEquals(fresh.registry.usable("s").size(), 1);
+  }
+
+  @Test
+  public void entryThatIsMissingIsGoneAtOnceWhileTheStoreIsUp() {
+    EndpointRegistryTest fresh = new EndpointRegistryTest();
+    fresh.registry.observe(List.of(entry(1, EndpointState.READY, 5)), 0);
+    fresh.registry.observe(List.of(), 1_000);
+    assertTrue(fresh.registry.usable("s").isEmpty());
+  }
+
+  @Test
+  public void entryThatExpiredWhileTheStoreWasAwayHasTwoSecondsToComeBack() {
+    EndpointRegistryTest fresh = new EndpointRegistryTest();
+    fresh.registry.observe(List.of(entry(1, EndpointState.READY, 5)), 0);
+    fresh.registry.observe(List.of(), 6_000);
+    assertEquals(fresh.registry.usable("s").size(), 1);
+    fresh.registry.observe(List.of(), 7_000);
+    assertEquals(fresh.registry.usable("s").size(), 1);
+    fresh.registry.observe(List.of(), 8_000);
+    assertTrue(fresh.registry.usable("s").isEmpty());
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/lentilhinge/forward/EndpointScoresTest.java
@@ -0,0 +1,49 @@
+package org.lentilhinge.forward;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.lentilhinge.fleet.EndpointState;
+import org.lentilhinge.fleet.FleetEndpoint;
+import org.testng.annotations.Test;
+
+/** Tests the choice among plain endpoints. */
+public class EndpointScoresTest {
+
+  private final ZoneDistances distances =
+      new ZoneDistances("a", "north", Map.of("a", "north", "b", "north", "c", "south"));
+  private final List<FleetEndpoint> endpoints =
+      List.of(endpoint("one", "a"), endpoint("two", "b"), endpoint("three", "c"));
+  private final EndpointScores scores = new EndpointScores();
+
+  private static FleetEndpoint endpoint(String id, String zone) {
+    return new FleetEndpoint(id, 1, "s", "10.0.0.1:80", zone, EndpointState.READY, 0, 1, List.of());
+  }
+
+  private String chosen(Set<String> excluded, long nowMillis) {
+    return scores.choose(endpoints, excluded, distances, nowMillis).orElseThrow().id();
+  }
+
+  @Test
+  public void nearZoneComesFirstAndOpenRequestsMoveWorkOn() {
+    EndpointScoresTest fresh = new EndpointScoresTest();
+    assertEquals(fresh.chosen(Set.of(), 0), "one");
+    fresh.scores.opened("one/1");
+    assertEquals(fresh.chosen(Set.of(), 0), "two");
+  }
+
+  @Test
+  public void greyEndpointGetsLessUntilItsFailuresAreOld() {
+    EndpointScoresTest fresh = new EndpointScoresTest();
+    fresh.scores.closed("one/1", true, 5, 0);
+    assertEquals(fresh.chosen(Set.of(), 0), "two");
+    assertEquals(fresh.chosen(Set.of(), 30_000), "one");
+  }
+
+  @Test
+  public void farRegionServesWhenNothingElseIsLeft() {
+    assertEquals(chosen(Set.of("one/1", "two/1"), 0), "three");
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/lentilhinge/forward/RouteTableTest.java
@@ -0,0 +1,55 @@
+package org.lentilhinge.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Tests how routes are found. */
+public class RouteTableTest {
+
+  private final RouteTable table =
+      new RouteTable(
+          List.of(route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/")));
+
+  private static ForwardRoute route(String name, String host, String prefix) {
+    List<ServiceShare> shares = List.of(new ServiceShare("s", 1));
+    return new ForwardRoute(name, host, prefix, RequestKind.SAFE, 1_000, 200, 0, shares, 1, false);
+  }
+
+  private String found(String host, String target) {
+    return table.find(host, target).map(ForwardRoute::name).orElse("none");
+  }
+
+  @Test
+  public void prefersTheLongestPrefix() {
+    assertEquals(found("a.example", "/x/y/z"), "long");
+    assertEquals(found("a.example", "/x/z"), "short");
+  }
+
+  @Test
+  public void passesOverPortCaseAndQuery() {
+    assertEquals(found("A.Example:8080", "/x/?path=/x/y/"), "short");
+  }
+
+  @Test
+  public void findsNothingForOtherHostsAndHalfSegments() {
+    assertEquals(found("b.example", "/x/z"), "none");
+    assertEquals(found("a.example", "/xy/z"), "none");
+    assertEquals(found("a.example", "/x"), "none");
+  }
+
+  @Test
+  public void splitsByWeight() {
+    List<ServiceShare> shares = List.of(new ServiceShare("a", 90), new ServiceShare("b", 10));
+    ForwardRoute split =
+        new ForwardRoute("r", "h", "/", RequestKind.SAFE, 1_000, 200, 0, shares, 1, false);
+    int ofB = 0;
+    for (long hash = 0; hash < 1_000; hash++) {
+      ofB += split.service(hash).equals("b") ? 1 : 0;
+    }
+    assertEquals(ofB, 100);
+    assertTrue(split.service(-1).matches("[ab]"));
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -0,0 +1,231 @@
+package org.lentilhinge.runtime.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.internal.net.NetSocketInternal;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import org.lentilhinge.forward.ForwardLimits;
+
+/**
+ * A caller's connection. It takes one request after the other, each read whole before it goes on.
+ */
+final class CallerConnection {
+
+  /** Requests that a caller sends before it has the answers; further ones close the connection. */
+  private static final int MAXIMUM_PIPELINED = 16;
+
+  private final NetSocketInternal socket;
+  private final HttpFront front;
+  private final ForwardLimits limits;
+  private final Deque<CallerExchange> waiting = new ArrayDeque<>();
+  private Optional<HttpRequest> head = Optional.empty();
+  private ByteBuf body = Unpooled.EMPTY_BUFFER;
+  private Optional<CallerExchange> current = Optional.empty();
+  private boolean open = true;
+  private boolean closing;
+  private boolean refusing;
+  private long usedMillis;
+
+  CallerConnection(NetSocket socket, HttpFront front, ForwardLimits limits, long nowMillis) {
+    this.socket = (NetSocketInternal) socket;
+    this.front = front;
+    this.limits = limits;
+    this.usedMillis = nowMillis;
+    HttpDecoderConfig config =
+        new HttpDecoderConfig()
+            .setMaxHeaderSize(limits.headerBytes())
+            .setMaxInitialLineLength(limits.headerBytes());
+    ChannelPipeline pipeline = this.socket.channelHandlerContext().pipeline();
+    pipeline.addBefore("handler", "requests", new StrictRequestDecoder(config));
+    pipeline.addBefore("handler", "responses", new HttpResponseEncoder());
+    this.socket.messageHandler(this::received);
+    this.socket.exceptionHandler(failure -> close());
+    this.socket.closeHandler(nothing -> closed());
+  }
+
+  boolean isOpen() {
+    return open;
+  }
+
+  private void received(Object message) {
+    try {
+      if (refusing || !(message instanceof HttpObject part)) {
+        return;
+      }
+      if (!part.decoderResult().isSuccess()) {
+        boolean tooLong = part.decoderResult().cause() instanceof TooLongFrameException;
+        refuse(tooLong ? 431 : 400, "the request is not HTTP or its head is too long");
+        return;
+      }
+      usedMillis = front.now();
+      if (part instanceof HttpRequest request) {
+        begin(request);
+      }
+      if (part instanceof HttpContent content && head.isPresent()) {
+        append(content);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void begin(HttpRequest request) {
+    boolean ambiguous =
+        request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+            && (request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                || !HttpUtil.isTransferEncodingChunked(request));
+    if (ambiguous || request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
+      // Two readings of where a request ends let one be smuggled inside another.
+      refuse(400, "the request's length or host is ambiguous");
+    } else if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
+      refuse(413, "the body is too long");
+    } else {
+      head = Optional.of(request);
+      body = Unpooled.buffer();
+      if (HttpUtil.is100ContinueExpected(request)) {
+        write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+      }
+    }
+  }
+
+  private void append(HttpContent content) {
+    if (body.readableBytes() + content.content().readableBytes() > limits.bodyBytes()) {
+      refuse(413, "the body is too long");
+      return;
+    }
+    body.writeBytes(content.content());
+    if (content instanceof LastHttpContent) {
+      HttpRequest request = head.orElseThrow();
+      head = Optional.empty();
+      if (!HttpUtil.isKeepAlive(request)) {
+        closing = true;
+      }
+      waiting.add(new CallerExchange(this, request, body));
+      if (waiting.size() > MAXIMUM_PIPELINED) {
+        close();
+      } else {
+        startNext();
+      }
+    }
+  }
+
+  private void startNext() {
+    if (current.isEmpty() && !waiting.isEmpty() && open) {
+      current = Optional.of(waiting.remove());
+      front.start(current.get());
+    }
+  }
+
+  private void refuse(int status, String text) {
+    refusing = true;
+    closing = true;
+    CallerExchange refused =
+        new CallerExchange(
+            this,
+            head.orElseGet(
+                () ->
+                    new io.netty.handler.codec.http.DefaultHttpRequest(
+                        HttpVersion.HTTP_1_1, io.netty.handler.codec.http.HttpMethod.GET, "/")),
+            Unpooled.EMPTY_BUFFER);
+    if (current.isEmpty()) {
+      current = Optional.of(refused);
+      refused.answer(status, Optional.empty(), text);
+      front.refused(status, text);
+    } else {
+      close();
+    }
+  }
+
+  /** Marks an answer as the connection's last where this is so. */
+  void markClosing(HttpMessage response) {
+    closing |= front.isStopping();
+    if (closing) {
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    } else {
+      response.headers().remove(HttpHeaderNames.CONNECTION);
+    }
+  }
+
+  void write(Object message) {
+    if (open) {
+      socket.writeMessage(message);
+    } else {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  void finished() {
+    usedMillis = front.now();
+    front.finished();
+    current = Optional.empty();
+    if (closing) {
+      open = false;
+      // Closes after what was written before has left.
+      socket.close();
+      front.closed(this);
+    } else {
+      startNext();
+    }
+  }
+
+  /** Closes the connection if it carries no request and has been idle for too long. */
+  void expire(long nowMillis) {
+    boolean reading = head.isPresent();
+    long bound = reading ? limits.headerMillis() + limits.idleMillis() : limits.idleMillis();
+    if (current.isEmpty() && nowMillis - usedMillis > bound) {
+      close();
+    }
+  }
+
+  /** Closes the connection unless a request is on it. */
+  void closeIfIdle() {
+    if (current.isEmpty() && head.isEmpty()) {
+      close();
+    }
+  }
+
+  boolean isIdle() {
+    return current.isEmpty() && head.isEmpty();
+  }
+
+  void close() {
+    if (open) {
+      socket.close();
+      closed();
+    }
+  }
+
+  private void closed() {
+    if (!open) {
+      return;
+    }
+    open = false;
+    front.closed(this);
+    Optional<CallerExchange> cut = current;
+    current = Optional.empty();
+    cut.ifPresent(
+        exchange -> {
+          front.finished();
+          exchange.callerGone();
+        });
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ChannelHeaders.java
@@ -0,0 +1,37 @@
+package org.lentilhinge.runtime.forward;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import java.util.Locale;
+
+/** Removes the headers that concern one connection only (RFC 9110, section 7.6.1). */
+final class ChannelHeaders {
+
+  private static final List<String> NAMES =
+      List.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "expect");
+
+  private ChannelHeaders() {}
+
+  static void remove(HttpHeaders headers) {
+    for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String name : value.split(",")) {
+        String trimmed = name.trim().toLowerCase(Locale.ROOT);
+        if (!trimmed.isEmpty()) {
+          headers.remove(trimmed);
+        }
+      }
+    }
+    NAMES.forEach(headers::remove);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -0,0 +1,238 @@
+package org.lentilhinge.runtime.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
+import io.vertx.core.AsyncResult;
+import java.util.Optional;
+import java.util.Set;
+import org.lentilhinge.fleet.FleetEndpoint;
+import org.lentilhinge.forward.AttemptOutcome;
+import org.lentilhinge.forward.ForwardRoute;
+import org.lentilhinge.forward.RequestKind;
+
+/**
+ * One attempt of a request at one endpoint. A stream's events go to the caller whole and as they
+ * come; any other answer goes out once it is whole.
+ */
+final class EndpointAttempt implements ReplyHandler {
+
+  /**
+   * Statuses that promise that a request has not run; only an endpoint that says so may use them.
+   */
+  private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+  private static final String EVENT_STREAM = "text/event-stream";
+
+  private final Forwarder forwarder;
+  private final ForwardedRequest request;
+  private final CallerExchange exchange;
+  private final ForwardRoute route;
+  private final FleetEndpoint endpoint;
+  private final EndpointHead told;
+  private final long startedMillis;
+  private final ByteBuf body = Unpooled.buffer();
+  private final EventStream events = new EventStream();
+  private Optional<EndpointConnection> connection = Optional.empty();
+  private Optional<HttpResponse> response = Optional.empty();
+  private boolean sent;
+  private boolean streaming;
+  private boolean over;
+
+  EndpointAttempt(
+      Forwarder forwarder,
+      ForwardedRequest request,
+      CallerExchange exchange,
+      ForwardRoute route,
+      FleetEndpoint endpoint,
+      EndpointHead told) {
+    this.forwarder = forwarder;
+    this.request = request;
+    this.exchange = exchange;
+    this.route = route;
+    this.endpoint = endpoint;
+    this.told = told;
+    this.startedMillis = forwarder.context().now();
+  }
+
+  FleetEndpoint endpoint() {
+    return endpoint;
+  }
+
+  boolean isSent() {
+    return sent;
+  }
+
+  int status() {
+    return response.map(answer -> answer.status().code()).orElse(0);
+  }
+
+  long tookMillis() {
+    return forwarder.context().now() - startedMillis;
+  }
+
+  void start() {
+    forwarder.state().scores().opened(endpoint.life());
+    forwarder.pool().acquire(endpoint.address()).onComplete(this::connected);
+  }
+
+  private void connected(AsyncResult<EndpointConnection> result) {
+    if (over) {
+      if (result.succeeded()) {
+        result.result().close();
+      }
+    } else if (result.failed()) {
+      end(AttemptOutcome.NOT_SENT, "no-connection");
+    } else if (!forwarder.state().endpoints().isUsable(endpoint)) {
+      // What was believed when the endpoint was chosen may have changed since.
+      result.result().close();
+      end(AttemptOutcome.NOT_SENT, "endpoint-left");
+    } else {
+      connection = Optional.of(result.result());
+      sent = true;
+      result.result().send(requestHead(), exchange.body().retainedDuplicate(), this);
+    }
+  }
+
+  private HttpRequest requestHead() {
+    HttpRequest from = exchange.request();
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(from.headers());
+    ChannelHeaders.remove(headers);
+    forwarder.dialect().prepare(headers, told);
+    if (exchange.body().isReadable()) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, exchange.body().readableBytes());
+    }
+    return new DefaultHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(), headers);
+  }
+
+  /** Ends the attempt; the endpoint drops a request whose connection closes. */
+  void cancel() {
+    if (!over) {
+      over = true;
+      note(false);
+      connection.ifPresent(EndpointConnection::cancel);
+    }
+  }
+
+  private void note(boolean failed) {
+    forwarder
+        .state()
+        .scores()
+        .closed(endpoint.life(), failed, tookMillis(), forwarder.context().now());
+  }
+
+  @Override
+  public boolean belongs(HttpResponse answer) {
+    Optional<String> echoed = forwarder.dialect().replyHead(answer.headers()).requestId();
+    // An answer without an id, such as a refusal, can only belong to a request of this connection.
+    return echoed.isEmpty() || echoed.equals(request.requestId());
+  }
+
+  @Override
+  public void head(HttpResponse answer) {
+    response = Optional.of(answer);
+    boolean success = answer.status().codeClass() == HttpStatusClass.SUCCESS;
+    String type = answer.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+    streaming = success && route.kind() == RequestKind.STREAM && type.startsWith(EVENT_STREAM);
+    if (success && !forwarder.dialect().replyHead(answer.headers()).signed()) {
+      fail("unsigned");
+    }
+  }
+
+  @Override
+  public void data(ByteBuf part) {
+    if (over) {
+      return;
+    }
+    if (!streaming) {
+      body.writeBytes(part, part.readerIndex(), part.readableBytes());
+      return;
+    }
+    ByteBuf whole = events.add(part);
+    if (whole.isReadable()) {
+      beginStream();
+      exchange.write(whole);
+    }
+    if (events.isTooLong()) {
+      fail("event-too-long");
+    }
+  }
+
+  private void beginStream() {
+    if (!exchange.isBegun()) {
+      HttpResponse answer = response.orElseThrow();
+      exchange.begin(answer.status(), answerHeaders(answer));
+      request.begun();
+    }
+  }
+
+  private static HttpHeaders answerHeaders(HttpResponse answer) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(answer.headers());
+    ChannelHeaders.remove(headers);
+    return headers;
+  }
+
+  @Override
+  public void ended() {
+    if (over) {
+      return;
+    }
+    HttpResponse answer = response.orElseThrow();
+    ReplyHead head = forwarder.dialect().replyHead(answer.headers());
+    int status = answer.status().code();
+    if (head.notExecuted() || status == 421) {
+      end(AttemptOutcome.NOT_EXECUTED, "endpoint-refused");
+    } else if (streaming) {
+      endStream();
+    } else if (PROMISES.contains(status)) {
+      // Passed on, the status would promise what the endpoint did not say.
+      end(AttemptOutcome.UNKNOWN, "status-without-word");
+    } else {
+      exchange.answer(HttpResponseStatus.valueOf(status), answerHeaders(answer), body);
+      request.begun();
+      end(AttemptOutcome.ANSWERED, "whole");
+    }
+  }
+
+  private void endStream() {
+    if (events.isMidEvent()) {
+      fail("broken-event");
+    } else {
+      beginStream();
+      exchange.end();
+      end(AttemptOutcome.ANSWERED, "whole");
+    }
+  }
+
+  @Override
+  public void failed(String reason) {
+    if (!over) {
+      end(AttemptOutcome.UNKNOWN, reason);
+    }
+  }
+
+  private void fail(String reason) {
+    connection.ifPresent(EndpointConnection::cancel);
+    end(AttemptOutcome.UNKNOWN, reason);
+  }
+
+  private void end(AttemptOutcome outcome, String reason) {
+    if (over) {
+      return;
+    }
+    over = true;
+    boolean failed = outcome != AttemptOutcome.ANSWERED || status() >= 500;
+    note(failed);
+    request.attemptEnded(this, outcome, reason, events.lastId());
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -0,0 +1,187 @@
+package org.lentilhinge.runtime.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.internal.net.NetSocketInternal;
+import io.vertx.core.net.NetSocket;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** A connection to an endpoint, which carries one request at a time. */
+final class EndpointConnection {
+
+  private static final int MAXIMUM_HEADER_BYTES = 65_536;
+
+  private final NetSocketInternal socket;
+  private final Consumer<EndpointConnection> idle;
+  private Optional<ReplyHandler> handler = Optional.empty();
+  private boolean skipping;
+  private boolean answering;
+  private boolean framed;
+  private boolean keepAlive;
+  private boolean written;
+  private boolean open = true;
+  private boolean reset;
+  private int uses;
+  private Optional<Long> keepAliveSeconds = Optional.empty();
+
+  /**
+   * Wraps a new socket.
+   *
+   * @param socket the socket
+   * @param idle hears when the connection is free for another request
+   */
+  EndpointConnection(NetSocket socket, Consumer<EndpointConnection> idle) {
+    this.socket = (NetSocketInternal) socket;
+    this.idle = idle;
+    HttpDecoderConfig limits =
+        new HttpDecoderConfig()
+            .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
+            .setMaxInitialLineLength(MAXIMUM_HEADER_BYTES);
+    ChannelPipeline pipeline = this.socket.channelHandlerContext().pipeline();
+    pipeline.addBefore("handler", "http", new HttpClientCodec(limits, false, false));
+    this.socket.messageHandler(this::received);
+    this.socket.exceptionHandler(
+        failure -> {
+          // A reset must not pass for the end of an answer without a length.
+          reset = true;
+          close();
+        });
+    this.socket.closeHandler(nothing -> closed());
+  }
+
+  boolean isOpen() {
+    return open;
+  }
+
+  /** Tells whether the connection has carried a request before. */
+  boolean isUsed() {
+    return uses > 0;
+  }
+
+  /** Tells how long the endpoint said that it keeps an idle connection, in seconds. */
+  Optional<Long> keepAliveSeconds() {
+    return keepAliveSeconds;
+  }
+
+  void send(HttpRequest head, ByteBuf body, ReplyHandler replyHandler) {
+    handler = Optional.of(replyHandler);
+    uses++;
+    written = false;
+    socket.writeMessage(head);
+    socket
+        .writeMessage(new DefaultLastHttpContent(body))
+        .onComplete(
+            result -> {
+              written = result.succeeded();
+              if (result.failed()) {
+                fail("write-failed");
+              }
+            });
+  }
+
+  private void received(Object message) {
+    try {
+      if (!(message instanceof HttpObject part) || !part.decoderResult().isSuccess()) {
+        fail("not-http");
+      } else if (handler.isEmpty()) {
+        // Nobody asked: whatever follows could be taken for the next answer.
+        close();
+      } else {
+        received(part);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void received(HttpObject part) {
+    if (part instanceof HttpResponse response) {
+      begin(response);
+    }
+    if (part instanceof HttpContent content && (answering || skipping)) {
+      boolean last = part instanceof LastHttpContent;
+      if (skipping) {
+        skipping = !last;
+        return;
+      }
+      if (content.content().isReadable()) {
+        handler.ifPresent(current -> current.data(content.content()));
+      }
+      if (last) {
+        end();
+      }
+    }
+  }
+
+  private void begin(HttpResponse response) {
+    boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    if (informational || !handler.orElseThrow().belongs(response)) {
+      skipping = true;
+      return;
+    }
+    answering = true;
+    framed =
+        HttpUtil.isTransferEncodingChunked(response)
+            || HttpUtil.isContentLengthSet(response)
+            || response.status().code() == 204
+            || response.status().code() == 304;
+    keepAlive = HttpUtil.isKeepAlive(response);
+    keepAliveSeconds = KeepAliveHeader.seconds(response.headers());
+    handler.ifPresent(current -> current.head(response));
+  }
+
+  private void end() {
+    if (reset) {
+      fail("reset");
+      return;
+    }
+    answering = false;
+    Optional<ReplyHandler> finished = handler;
+    handler = Optional.empty();
+    boolean reusable = framed && keepAlive && written && open;
+    if (!reusable) {
+      close();
+    }
+    finished.ifPresent(ReplyHandler::ended);
+    if (reusable && open) {
+      idle.accept(this);
+    }
+  }
+
+  private void fail(String reason) {
+    Optional<ReplyHandler> failed = handler;
+    handler = Optional.empty();
+    close();
+    failed.ifPresent(current -> current.failed(reason));
+  }
+
+  private void closed() {
+    open = false;
+    fail(reset ? "reset" : "closed");
+  }
+
+  /** Ends the connection; a request that it carries hears nothing more. */
+  void cancel() {
+    handler = Optional.empty();
+    close();
+  }
+
+  void close() {
+    if (open) {
+      open = false;
+      socket.close();
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
@@ -0,0 +1,317 @@
+package org.lentilhinge.runtime.forward;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.lentilhinge.fleet.FleetEndpoint;
+import org.lentilhinge.lease.RendezvousHash;
+import org.lentilhinge.permit.AdapterOrder;
+import org.lentilhinge.permit.DeskCommand;
+import org.lentilhinge.permit.EngineDesk;
+import org.lentilhinge.permit.EngineHold;
+import org.lentilhinge.permit.EngineNotice;
+import org.lentilhinge.permit.PermitAsk;
+import org.lentilhinge.permit.PermitEnd;
+
+/**
+ * Runs the desk of one life of an engine on this host: answers asks, and sends the desk's orders
+ * one after the other while this host holds the engine.
+ */
+final class HeldEngine {
+
+  /** The first wait before an engine is asked whether a load is done, in milliseconds. */
+  private static final long FIRST_CHECK_MILLIS = 25;
+
+  /** The wait between two such questions, in milliseconds. */
+  private static final long CHECK_MILLIS = 40;
+
+  /** The wait after an order that met another count than expected, in milliseconds. */
+  private static final long CONFLICT_MILLIS = 150;
+
+  /** An order that is not done after this time has failed, in milliseconds. */
+  private static final long ORDER_MILLIS = 10_000;
+
+  private final HostContext context;
+  private final EngineControl control;
+  private final PeerSender peers;
+  private final HostState state;
+  private final FleetEndpoint engine;
+  private final EngineDesk desk;
+  private final EngineHold hold;
+  private final Deque<AdapterOrder> orders = new ArrayDeque<>();
+  private final Map<AdapterOrder, Long> begun = new HashMap<>();
+  private final Set<AdapterOrder> counted = new HashSet<>();
+  private boolean sending;
+  private boolean reading;
+  private boolean closed;
+
+  HeldEngine(
+      HostContext context,
+      EngineControl control,
+      PeerSender peers,
+      HostState state,
+      FleetEndpoint engine,
+      EngineDesk desk) {
+    this.context = context;
+    this.control = control;
+    this.peers = peers;
+    this.state = state;
+    this.engine = engine;
+    this.desk = desk;
+    this.hold =
+        new EngineHold(
+            context.settings().bounds().leaseMillis(), RendezvousHash.hash(context.host()));
+    read("opened");
+  }
+
+  FleetEndpoint engine() {
+    return engine;
+  }
+
+  boolean isHolding() {
+    return hold.isHolding();
+  }
+
+  boolean isBusy() {
+    return desk.isBusy();
+  }
+
+  EngineNotice notice() {
+    return desk.notice(engine.life(), hold.isHolding(), context.now());
+  }
+
+  void ask(String host, PermitAsk ask) {
+    carryOut(desk.ask(host, ask, context.now()));
+  }
+
+  void ended(String host, PermitEnd end) {
+    carryOut(desk.ended(host, end, context.now()));
+  }
+
+  void hostGone(String host) {
+    carryOut(desk.hostGone(host, context.now()));
+  }
+
+  /** Notes that another host says that it holds the engine. */
+  void heldElsewhere(String host) {
+    if (hold.isHolding()) {
+      context.log().line("hold-lost", "engine", engine.id(), "to", host);
+    }
+    hold.heldElsewhere(context.now());
+    desk.ordering(false);
+    orders.clear();
+  }
+
+  /** Decides what time alone makes due, and takes the engine if it may be taken. */
+  void tick() {
+    carryOut(desk.decide(context.now()));
+    int rank = state.ranking(engine).indexOf(context.host());
+    if (!hold.isHolding() && rank >= 0 && hold.isDue(rank, context.now())) {
+      read("take");
+    }
+  }
+
+  private void read(String reason) {
+    if (reading || closed) {
+      return;
+    }
+    reading = true;
+    control
+        .report(engine)
+        .onComplete(
+            result -> {
+              reading = false;
+              if (result.succeeded()) {
+                reported(result.result(), reason);
+              } else {
+                context.log().line("report-failed", "engine", engine.id(), "why", reason);
+              }
+            });
+  }
+
+  private void reported(EngineReport report, String reason) {
+    long now = context.now();
+    boolean held = hold.isHolding();
+    hold.observed(report.orders(), now);
+    int rank = state.ranking(engine).indexOf(context.host());
+    boolean taken = !held && rank >= 0 && hold.take(rank, state.revision(), now);
+    if (!held) {
+      desk.reported(!report.models().isEmpty(), report.adapters(), report.coming(), now);
+    }
+    context
+        .log()
+        .line(
+            "engine-report",
+            "engine",
+            engine.id(),
+            "why",
+            reason,
+            "orders",
+            report.orders(),
+            "adapters",
+            report.adapters().size(),
+            "coming",
+            report.coming().size(),
+            "holding",
+            hold.isHolding(),
+            "fence",
+            hold.fence().orElse(0));
+    desk.ordering(hold.isHolding());
+    if (taken) {
+      peersHear();
+    }
+    carryOut(desk.decide(now));
+    sendNext();
+  }
+
+  private void peersHear() {
+    EngineNotice notice = notice();
+    state.hosts().alive().forEach(host -> peers.send(host, notice));
+    state.board().noted(context.host(), notice, context.now());
+  }
+
+  private void carryOut(List<DeskCommand> commands) {
+    for (DeskCommand command : commands) {
+      if (command instanceof DeskCommand.Answer answer) {
+        context
+            .log()
+            .line(
+                answer.answer().granted() ? "permit" : "permit-refused",
+                "engine",
+                engine.id(),
+                "host",
+                answer.host(),
+                "ask",
+                answer.answer().ask(),
+                "why",
+                answer.answer().reason(),
+                "waitedMs",
+                answer.waitedMillis(),
+                "retryMs",
+                answer.answer().retryMillis());
+        peers.send(answer.host(), answer.answer());
+      } else if (command instanceof DeskCommand.Order order) {
+        orders.add(order.order());
+        log("order-decided", order.order(), order.reason());
+      }
+    }
+    sendNext();
+  }
+
+  private void log(String event, AdapterOrder order, Object outcome) {
+    context
+        .log()
+        .line(
+            event,
+            "engine",
+            engine.id(),
+            "op",
+            order.load() ? "load" : "unload",
+            "adapter",
+            order.model() + '/' + order.adapter(),
+            "version",
+            order.version(),
+            "outcome",
+            outcome,
+            "expected",
+            hold.expectedOrders().orElse(-1),
+            "fence",
+            hold.fence().orElse(0));
+  }
+
+  private void sendNext() {
+    OptionalLong fence = hold.fence();
+    if (sending || closed || orders.isEmpty() || fence.isEmpty()) {
+      return;
+    }
+    sending = true;
+    AdapterOrder order = orders.remove();
+    begun.putIfAbsent(order, context.now());
+    long expected = hold.expectedOrders().orElse(0);
+    control
+        .order(engine, order, expected, context.host(), fence.getAsLong())
+        .onSuccess(reply -> replied(order, reply));
+  }
+
+  private void replied(AdapterOrder order, OrderReply reply) {
+    sending = false;
+    if (closed) {
+      return;
+    }
+    long now = context.now();
+    // An engine answers a repeated load like the first, but counts it only once.
+    boolean first = counted.add(order);
+    if (first || reply != OrderReply.ACCEPTED) {
+      log("order", order, reply);
+    }
+    switch (reply) {
+      case ACCEPTED -> {
+        if (first) {
+          hold.accepted(now);
+        }
+        later(order, first ? FIRST_CHECK_MILLIS : CHECK_MILLIS);
+      }
+      case HOLDS -> {
+        if (first && !order.load()) {
+          hold.accepted(now);
+        }
+        settle(order, true);
+      }
+      case CONFLICT -> {
+        counted.remove(order);
+        conflict(order);
+      }
+      case UNKNOWN -> {
+        counted.remove(order);
+        hold.unanswered();
+        conflict(order);
+      }
+      default -> settle(order, false);
+    }
+    sendNext();
+  }
+
+  /** Compares the counts of orders as soon as the engine's report is newer than the last order. */
+  private void conflict(AdapterOrder order) {
+    if (hold.isSettled(context.now())) {
+      read("conflict");
+    }
+    later(order, CONFLICT_MILLIS);
+  }
+
+  private void later(AdapterOrder order, long millis) {
+    long age = context.now() - begun.getOrDefault(order, context.now());
+    if (age > ORDER_MILLIS) {
+      settle(order, false);
+      return;
+    }
+    context
+        .vertx()
+        .setTimer(
+            millis,
+            id -> {
+              orders.add(order);
+              sendNext();
+            });
+  }
+
+  private void settle(AdapterOrder order, boolean done) {
+    counted.remove(order);
+    Optional.ofNullable(begun.remove(order))
+        .ifPresent(
+            since -> log(done ? "order-done" : "order-failed", order, context.now() - since));
+    carryOut(desk.ordered(order, done, context.now()));
+  }
+
+  /** Ends the desk; who waits is answered by the loss of this host or of the engine. */
+  void close() {
+    closed = true;
+    orders.clear();
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HttpCaller.java
@@ -0,0 +1,111 @@
+package org.lentilhinge.runtime.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import java.util.Map;
+
+/** Makes calls of this host's own to endpoints and to the store, each one try with a deadline. */
+public final class HttpCaller {
+
+  private final Vertx vertx;
+  private final EndpointPool pool;
+
+  HttpCaller(Vertx vertx, EndpointPool pool) {
+    this.vertx = vertx;
+    this.pool = pool;
+  }
+
+  /**
+   * Makes a call. A connection on which no whole answer comes in time is closed.
+   *
+   * @param method the HTTP method
+   * @param address the IP number and port
+   * @param target the path and query
+   * @param headers further headers
+   * @param body the body, perhaps empty
+   * @param timeoutMillis the longest wait for the whole answer, in milliseconds
+   * @return the answer; fails with an {@link IOException} if there is none
+   */
+  public Future<HttpReply> call(
+      String method,
+      String address,
+      String target,
+      Map<String, String> headers,
+      Buffer body,
+      long timeoutMillis) {
+    HttpRequest request =
+        new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target);
+    request.headers().set(HttpHeaderNames.HOST, address);
+    request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
+    headers.forEach((name, value) -> request.headers().set(name, value));
+    Promise<HttpReply> promise = Promise.promise();
+    String what = method + ' ' + address + target;
+    long timer =
+        vertx.setTimer(
+            timeoutMillis, id -> promise.tryFail(new IOException(what + ": no answer in time")));
+    promise.future().onComplete(result -> vertx.cancelTimer(timer));
+    pool.acquire(address)
+        .onFailure(failure -> promise.tryFail(new IOException(what + ": " + failure.getMessage())))
+        .onSuccess(
+            connection -> {
+              promise.future().onFailure(failure -> connection.cancel());
+              if (!promise.future().isComplete()) {
+                ByteBuf bytes = Unpooled.wrappedBuffer(body.getBytes());
+                connection.send(request, bytes, new Collector(what, promise));
+              }
+            });
+    return promise.future();
+  }
+
+  /** Collects a whole answer. */
+  private static final class Collector implements ReplyHandler {
+
+    private final String what;
+    private final Promise<HttpReply> promise;
+    private final Buffer body = Buffer.buffer();
+    private int status;
+
+    Collector(String what, Promise<HttpReply> promise) {
+      this.what = what;
+      this.promise = promise;
+    }
+
+    @Override
+    public boolean belongs(HttpResponse response) {
+      return true;
+    }
+
+    @Override
+    public void head(HttpResponse response) {
+      status = response.status().code();
+    }
+
+    @Override
+    public void data(ByteBuf part) {
+      byte[] bytes = new byte[part.readableBytes()];
+      part.getBytes(part.readerIndex(), bytes);
+      body.appendBytes(bytes);
+    }
+
+    @Override
+    public void ended() {
+      promise.tryComplete(new HttpReply(status, body));
+    }
+
+    @Override
+    public void failed(String reason) {
+      promise.tryFail(new IOException(what + ": " + reason));
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HttpFront.java
@@ -0,0 +1,130 @@
+package org.lentilhinge.runtime.forward;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.lentilhinge.forward.ForwardLimits;
+
+/** Listens for callers and hands each whole request on. */
+public final class HttpFront {
+
+  private static final int ACCEPT_BACKLOG = 1_024;
+
+  private final NetServer server;
+  private final Set<CallerConnection> connections = new LinkedHashSet<>();
+  private final Consumer<CallerExchange> handler;
+  private final BiConsumer<Integer, String> refusals;
+  private final LongSupplier clock;
+  private boolean stopping;
+  private int running;
+
+  /**
+   * Makes a front that does not listen yet.
+   *
+   * @param vertx makes the server
+   * @param address the IP number and port to listen on
+   * @param limits gives the bounds that hold for a new connection
+   * @param clock the monotonic clock, in milliseconds
+   * @param handler takes each whole request
+   * @param refusals hears of requests that are refused for their form, with status and reason
+   */
+  public HttpFront(
+      Vertx vertx,
+      String address,
+      Supplier<ForwardLimits> limits,
+      LongSupplier clock,
+      Consumer<CallerExchange> handler,
+      BiConsumer<Integer, String> refusals) {
+    this.handler = handler;
+    this.refusals = refusals;
+    this.clock = clock;
+    int colon = address.lastIndexOf(':');
+    server =
+        vertx
+            .createNetServer(
+                new NetServerOptions()
+                    .setHost(address.substring(0, colon))
+                    .setPort(Integer.parseInt(address.substring(colon + 1)))
+                    .setAcceptBacklog(ACCEPT_BACKLOG)
+                    .setTcpNoDelay(true))
+            .connectHandler(
+                socket ->
+                    connections.add(
+                        new CallerConnection(socket, this, limits.get(), clock.getAsLong())));
+  }
+
+  /**
+   * Begins to listen.
+   *
+   * @return completes with the port
+   */
+  public Future<Integer> listen() {
+    return server.listen().map(NetServer::actualPort);
+  }
+
+  long now() {
+    return clock.getAsLong();
+  }
+
+  boolean isStopping() {
+    return stopping;
+  }
+
+  /**
+   * Counts the requests that have no whole answer yet.
+   *
+   * @return the number
+   */
+  public int running() {
+    return running;
+  }
+
+  void start(CallerExchange exchange) {
+    running++;
+    handler.accept(exchange);
+  }
+
+  void finished() {
+    running = Math.max(0, running - 1);
+  }
+
+  void refused(int status, String reason) {
+    running++;
+    refusals.accept(status, reason);
+  }
+
+  void closed(CallerConnection connection) {
+    connections.remove(connection);
+  }
+
+  /** Closes connections that are idle for longer than the limits allow. */
+  public void expire() {
+    long now = clock.getAsLong();
+    List.copyOf(connections).forEach(connection -> connection.expire(now));
+  }
+
+  /** Marks each further answer as the last of its connection. */
+  public void stop() {
+    stopping = true;
+  }
+
+  /** Closes the connections that carry no request, and takes no new ones. */
+  public void closeIdle() {
+    server.close();
+    List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+  }
+
+  /** Takes no new connections, and closes all. */
+  public void close() {
+    server.close();
+    List.copyOf(connections).forEach(CallerConnection::close);
+  }
+}
--- a/runtime/src/main/java/org/lentilhinge/runtime/peer/PeerNetwork.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/peer/PeerNetwork.java
@@ -56,6 +56,7 @@
   private volatile Set<HostId> known = Set.of();
   private Optional<Disposable> ticks = Optional.empty();
   private boolean closed;
+  private boolean open;
 
   /**
    * Creates a network that is not yet started.
@@ -192,6 +193,14 @@
     context.runOnContext(nothing -> replacePeers(named));
   }
 
+  /**
+   * Accepts links from hosts that are not named, too, as long as they prove the secret. For systems
+   * whose hosts find each other from a few seeds. To be called before the start.
+   */
+  public void takeAnyPeer() {
+    open = true;
+  }
+
   private void replacePeers(Map<HostId, PeerAddress> named) {
     for (OutgoingLink link : List.copyOf(outgoing.values())) {
       if (!link.peer().equals(named.get(link.peer().host()))) {
@@ -200,7 +209,7 @@
       }
     }
     for (Map.Entry<HostId, IncomingLink> link : Map.copyOf(incoming).entrySet()) {
-      if (!named.containsKey(link.getKey())) {
+      if (!open && !named.containsKey(link.getKey())) {
         link.getValue().end(LinkFailure.STOPPED);
       }
     }
@@ -303,7 +312,7 @@
 
     @Override
     public boolean isKnown(HostId host) {
-      return known.contains(host);
+      return open || known.contains(host);
     }
 
     @Override
--- /dev/null
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -0,0 +1,152 @@
+package org.lentilhinge.runtime.forward;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.lentilhinge.fleet.EndpointState;
+import org.lentilhinge.fleet.FleetEndpoint;
+import org.lentilhinge.forward.ForwardConfiguration;
+import org.lentilhinge.forward.ForwardLimits;
+import org.lentilhinge.forward.ForwardRoute;
+import org.lentilhinge.forward.ForwardService;
+import org.lentilhinge.forward.RequestKind;
+import org.lentilhinge.forward.ServiceShare;
+
+/** A front and a forwarder on real sockets, before scripted endpoints. */
+final class ForwardFixture implements AutoCloseable {
+
+  private static final int SOCKET_MILLIS = 10_000;
+
+  private final Vertx vertx;
+  private final HttpFront front;
+  private final int port;
+
+  ForwardFixture(Vertx vertx, List<String> endpoints) {
+    this.vertx = vertx;
+    CompletableFuture<HttpFront> made = new CompletableFuture<>();
+    Context loop = vertx.getOrCreateContext();
+    CompletableFuture<Integer> listening = new CompletableFuture<>();
+    loop.runOnContext(
+        nothing -> {
+          HttpFront built = front(endpoints);
+          made.complete(built);
+          built.listen().onSuccess(listening::complete).onFailure(listening::completeExceptionally);
+        });
+    front = made.join();
+    port = listening.join();
+  }
+
+  private HttpFront front(List<String> addresses) {
+    HostContext context =
+        new HostContext(
+            vertx,
+            settings(),
+            () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+            new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
+            new MetricRegistry());
+    HostState state = new HostState(context);
+    state.configure(configuration());
+    List<FleetEndpoint> endpoints = new ArrayList<>();
+    for (String address : addresses) {
+      // Earlier endpoints are nearer, so that they are tried first.
+      String zone = endpoints.isEmpty() ? "a" : "b";
+      endpoints.add(
+          new FleetEndpoint(
+              "e" + endpoints.size(), 1, "s", address, zone, EndpointState.READY, 0, 1, List.of()));
+    }
+    state.endpoints().observe(endpoints, context.now());
+    EndpointPool pool = new EndpointPool(vertx, 1_000, context.clock());
+    PermitClient permits = new PermitClient((host, message) -> {}, 0);
+    Forwarder forwarder = new Forwarder(context, state, new PlainDialect(), pool, permits);
+    return new HttpFront(
+        vertx, "127.0.0.1:0", state::limits, context.clock(), forwarder::take, (code, why) -> {});
+  }
+
+  private static ForwardSettings settings() {
+    return new ForwardSettings(
+        "10.0.0.1",
+        "a",
+        "north",
+        Map.of("a", "north", "b", "north"),
+        "127.0.0.1:0",
+        "127.0.0.1:0",
+        "/ready",
+        "10.0.0.1:1",
+        "secret",
+        List.of(),
+        "127.0.0.1:1",
+        0,
+        // Each request earns a whole retry.
+        new ForwardSettings.Bounds(8_000, 3_000, 4, 100, 10_000));
+  }
+
+  private static ForwardConfiguration configuration() {
+    List<ForwardRoute> routes =
+        List.of(
+            route("/safe/", RequestKind.SAFE, false),
+            route("/unsafe/", RequestKind.UNSAFE, false),
+            route("/stream/", RequestKind.STREAM, false),
+            route("/resumable/", RequestKind.STREAM, true));
+    ForwardService service = new ForwardService("s", 100, Optional.empty());
+    return new ForwardConfiguration(
+        1, routes, Map.of("s", service), new ForwardLimits(8_192, 100_000, 3_000, 15_000));
+  }
+
+  private static ForwardRoute route(String prefix, RequestKind kind, boolean resumable) {
+    List<ServiceShare> shares = List.of(new ServiceShare("s", 1));
+    return new ForwardRoute(prefix, "h", prefix, kind, 2_000, 500, 0, shares, 2, resumable);
+  }
+
+  /** Opens a caller's connection. */
+  Socket open() throws IOException {
+    Socket socket = new Socket("127.0.0.1", port);
+    socket.setSoTimeout(SOCKET_MILLIS);
+    return socket;
+  }
+
+  /** Sends bytes on a new connection that is to be closed after the answer; gets all that comes. */
+  String send(String request) throws IOException {
+    try (Socket socket = open()) {
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
+  /** Writes a request of one id. */
+  static String request(String method, String path, String id, String body) {
+    return method
+        + " "
+        + path
+        + " HTTP/1.1\r\nHost: h\r\nX-Id: "
+        + id
+        + "\r\nX-Deadline: 1500\r\nConnection: close\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  /** Writes a signed answer to a request of one id. */
+  static String answer(String id, String body) {
+    return "HTTP/1.1 200 OK\r\nX-Id: "
+        + id
+        + "\r\nX-Signature: s\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  @Override
+  public void close() {
+    front.close();
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardingTrapsTest.java
@@ -0,0 +1,286 @@
+package org.lentilhinge.runtime.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetSocket;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Tests over sockets the ways in which an endpoint or a caller may break an exchange. */
+public class ForwardingTrapsTest {
+
+  private static final String STREAM_HEAD =
+      "HTTP/1.1 200 OK\r\nX-Id: i\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\n"
+          + "Transfer-Encoding: chunked\r\n\r\n";
+
+  private Vertx vertx;
+
+  @BeforeClass
+  public void start() {
+    vertx = Vertx.vertx();
+  }
+
+  @AfterClass
+  public void stop() {
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  private ScriptedEndpoint endpoint(BiConsumer<NetSocket, String> script) {
+    return new ScriptedEndpoint(vertx, script);
+  }
+
+  private String play(String request, ScriptedEndpoint... endpoints) throws IOException {
+    List<String> addresses = new ArrayList<>();
+    for (ScriptedEndpoint one : endpoints) {
+      addresses.add(one.address());
+    }
+    try (ForwardFixture fixture = new ForwardFixture(vertx, addresses)) {
+      return fixture.send(request);
+    }
+  }
+
+  private static String unsafe() {
+    return ForwardFixture.request("POST", "/unsafe/x", "i", "body");
+  }
+
+  private static String safe() {
+    return ForwardFixture.request("GET", "/safe/x", "i", "");
+  }
+
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  @Test
+  public void answerOfAnotherRequestIsPassedOver() throws IOException {
+    ScriptedEndpoint crossed =
+        endpoint(
+            (socket, request) ->
+                socket.write(
+                    ForwardFixture.answer("other", "wrong") + ForwardFixture.answer("i", "right")));
+    String answer = play(unsafe(), crossed);
+    assertTrue(answer.endsWith("right"), answer);
+    assertFalse(answer.contains("wrong"), answer);
+  }
+
+  @Test
+  public void bytesAfterAnAnswerAreNotTheNextAnswer() throws IOException {
+    ScriptedEndpoint extra =
+        endpoint(
+            (socket, request) -> {
+              String id = request.contains("X-Id: one") ? "one" : "two";
+              socket.write(ForwardFixture.answer(id, id) + ForwardFixture.answer("one", "extra"));
+            });
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(extra.address()))) {
+      assertTrue(
+          fixture.send(ForwardFixture.request("POST", "/unsafe/", "one", "")).endsWith("one"));
+      assertTrue(
+          fixture.send(ForwardFixture.request("POST", "/unsafe/", "two", "")).endsWith("two"));
+    }
+  }
+
+  @Test
+  public void answerWithoutLengthIsWholeOnlyIfItWasNotReset() throws IOException {
+    String head = "HTTP/1.1 200 OK\r\nX-Id: i\r\nX-Signature: s\r\n\r\nall";
+    ScriptedEndpoint closing =
+        endpoint((socket, request) -> socket.end(io.vertx.core.buffer.Buffer.buffer(head)));
+    assertTrue(play(unsafe(), closing).endsWith("all"));
+  }
+
+  @Test
+  public void answerThatEndsEarlyIsNoSuccess() throws IOException {
+    ScriptedEndpoint early =
+        endpoint(
+            (socket, request) ->
+                socket.end(
+                    io.vertx.core.buffer.Buffer.buffer(
+                        "HTTP/1.1 200 OK\r\nX-Id: i\r\nX-Signature: s\r\n"
+                            + "Content-Length: 9\r\n\r\nhal")));
+    assertTrue(play(unsafe(), early).startsWith("HTTP/1.1 502"));
+  }
+
+  @Test
+  public void bytesThatAreNoHttpAreNoAnswer() throws IOException {
+    ScriptedEndpoint garbled =
+        endpoint((socket, request) -> socket.write("\u0001\u0002 nonsense\r\n\r\n"));
+    assertTrue(play(unsafe(), garbled).startsWith("HTTP/1.1 502"));
+  }
+
+  @Test
+  public void successWithoutSignatureIsNoSuccess() throws IOException {
+    ScriptedEndpoint unsigned =
+        endpoint(
+            (socket, request) ->
+                socket.write("HTTP/1.1 200 OK\r\nX-Id: i\r\nContent-Length: 2\r\n\r\nno"));
+    assertTrue(play(unsafe(), unsigned).startsWith("HTTP/1.1 502"));
+  }
+
+  @Test
+  public void requestWithTwoLengthsIsRefusedAndNeverPassedOn() throws IOException {
+    ScriptedEndpoint endpoint =
+        endpoint((socket, request) -> socket.write(ForwardFixture.answer("i", "run")));
+    String smuggling =
+        "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Id: i\r\nContent-Length: 5\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+            + "POST /unsafe/y HTTP/1.1\r\nHost: h\r\n\r\n";
+    assertTrue(play(smuggling, endpoint).startsWith("HTTP/1.1 400"));
+    assertEquals(endpoint.requests().size(), 0);
+  }
+
+  @Test
+  public void requestInsideOneBodyStaysOneBody() throws IOException {
+    ScriptedEndpoint endpoint =
+        endpoint((socket, request) -> socket.write(ForwardFixture.answer("i", "run")));
+    String inner = "POST /unsafe/y HTTP/1.1\r\nHost: h\r\n\r\n";
+    play(ForwardFixture.request("POST", "/unsafe/x", "i", inner), endpoint);
+    assertEquals(endpoint.requests().size(), 1);
+    assertTrue(endpoint.requests().get(0).endsWith(inner));
+  }
+
+  @Test
+  public void endpointThatTookTheAddressOverIsRecognised() throws IOException {
+    ScriptedEndpoint other =
+        endpoint(
+            (socket, request) ->
+                socket.write("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"));
+    String answer = play(unsafe(), other);
+    assertTrue(other.requests().get(0).contains("X-Endpoint: e0"));
+    assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+    assertTrue(answer.toLowerCase(java.util.Locale.ROOT).contains("retry-after"), answer);
+  }
+
+  @Test
+  public void unsafeRequestOfUnknownOutcomeGoesOutOnceAndIsNotCalledUnrun() throws IOException {
+    ScriptedEndpoint closing = endpoint((socket, request) -> socket.close());
+    ScriptedEndpoint second =
+        endpoint((socket, request) -> socket.write(ForwardFixture.answer("i", "again")));
+    assertTrue(play(unsafe(), closing, second).startsWith("HTTP/1.1 502"));
+    assertEquals(closing.requests().size() + second.requests().size(), 1);
+  }
+
+  @Test
+  public void safeRequestGoesOnAtAnotherEndpoint() throws IOException {
+    ScriptedEndpoint closing = endpoint((socket, request) -> socket.close());
+    ScriptedEndpoint second =
+        endpoint((socket, request) -> socket.write(ForwardFixture.answer("i", "again")));
+    assertTrue(play(safe(), closing, second).endsWith("again"));
+  }
+
+  @Test
+  public void statusThatPromisesWithoutTheEndpointsWordIsNotPassedOn() throws IOException {
+    ScriptedEndpoint busy =
+        endpoint(
+            (socket, request) ->
+                socket.write("HTTP/1.1 503 Busy\r\nX-Id: i\r\nContent-Length: 0\r\n\r\n"));
+    assertTrue(play(unsafe(), busy).startsWith("HTTP/1.1 502"));
+  }
+
+  @Test
+  public void refusalOfTheEndpointIsPassedOnAsOne() throws IOException {
+    ScriptedEndpoint full =
+        endpoint(
+            (socket, request) ->
+                socket.write(
+                    "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+    assertTrue(play(unsafe(), full).startsWith("HTTP/1.1 503"));
+  }
+
+  @Test
+  public void endpointIsToldNoMoreTimeThanIsLeft() throws IOException {
+    ScriptedEndpoint endpoint =
+        endpoint((socket, request) -> socket.write(ForwardFixture.answer("i", "run")));
+    play(unsafe(), endpoint);
+    String line =
+        endpoint
+            .requests()
+            .get(0)
+            .lines()
+            .filter(one -> one.startsWith("X-Deadline"))
+            .findFirst()
+            .orElseThrow();
+    long told = Long.parseLong(line.substring(line.indexOf(':') + 1).trim());
+    assertTrue(told > 0 && told <= 1_500, line);
+  }
+
+  @Test
+  public void silentEndpointEndsInOneTrueAnswerAtTheDeadline() throws IOException {
+    ScriptedEndpoint silent = endpoint((socket, request) -> {});
+    assertTrue(play(unsafe(), silent).startsWith("HTTP/1.1 504"));
+  }
+
+  @Test
+  public void unsafeRequestOnOneStaleConnectionIsNotRepeated() throws IOException {
+    ScriptedEndpoint stale =
+        endpoint(
+            (socket, request) -> {
+              if (request.contains("X-Id: one")) {
+                socket.write(ForwardFixture.answer("one", "one"));
+              } else {
+                socket.close();
+              }
+            });
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(stale.address()))) {
+      fixture.send(ForwardFixture.request("POST", "/unsafe/", "one", ""));
+      String answer = fixture.send(ForwardFixture.request("POST", "/unsafe/", "two", ""));
+      assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+      assertEquals(stale.requests().size(), 2);
+    }
+  }
+
+  @Test
+  public void callerThatLeavesCancelsItsRequest() throws IOException, InterruptedException {
+    CountDownLatch arrived = new CountDownLatch(1);
+    ScriptedEndpoint slow = endpoint((socket, request) -> arrived.countDown());
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(slow.address()))) {
+      try (Socket caller = fixture.open()) {
+        caller.getOutputStream().write(unsafe().getBytes(StandardCharsets.ISO_8859_1));
+        assertTrue(arrived.await(10, TimeUnit.SECONDS));
+      }
+      assertTrue(slow.awaitClosed());
+    }
+  }
+
+  @Test
+  public void streamThatBreaksInsideAnEventDoesNotLookWhole() throws IOException {
+    ScriptedEndpoint broken =
+        endpoint(
+            (socket, request) -> {
+              socket.write(STREAM_HEAD + chunk("id: 1\ndata: a\n\nid: 2\nda"));
+              socket.close();
+            });
+    String answer = play(ForwardFixture.request("POST", "/stream/", "i", ""), broken);
+    assertTrue(answer.contains("data: a\n\n"), answer);
+    assertFalse(answer.contains("id: 2"), answer);
+    assertFalse(answer.endsWith("0\r\n\r\n"), answer);
+  }
+
+  @Test
+  public void resumableStreamGoesOnAfterItsLastWholeEvent() throws IOException {
+    ScriptedEndpoint broken =
+        endpoint(
+            (socket, request) -> {
+              socket.write(STREAM_HEAD + chunk("id: 1\ndata: a\n\nid: 2\nda"));
+              socket.close();
+            });
+    ScriptedEndpoint second =
+        endpoint(
+            (socket, request) ->
+                socket.write(STREAM_HEAD + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n"));
+    String answer = play(ForwardFixture.request("POST", "/resumable/", "i", ""), broken, second);
+    assertTrue(second.requests().get(0).contains("X-Resume: 1"));
+    assertTrue(answer.indexOf("data: a") < answer.indexOf("data: b"), answer);
+    assertTrue(answer.endsWith("0\r\n\r\n"), answer);
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/PlainDialect.java
@@ -0,0 +1,34 @@
+package org.lentilhinge.runtime.forward;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** A dialect with short header names of its own. */
+final class PlainDialect implements ForwardDialect {
+
+  @Override
+  public CallerHead callerHead(HttpHeaders headers) {
+    String deadline = headers.get("X-Deadline");
+    return new CallerHead(
+        Optional.ofNullable(headers.get("X-Id")),
+        deadline == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadline)),
+        Optional.empty(),
+        Optional.ofNullable(headers.get("X-Resume")));
+  }
+
+  @Override
+  public void prepare(HttpHeaders headers, EndpointHead head) {
+    headers.set("X-Deadline", head.deadlineMillis());
+    headers.set("X-Endpoint", head.endpoint());
+    head.resumeAfter().ifPresent(event -> headers.set("X-Resume", event));
+  }
+
+  @Override
+  public ReplyHead replyHead(HttpHeaders headers) {
+    return new ReplyHead(
+        headers.contains("X-Not-Executed"),
+        headers.contains("X-Signature"),
+        Optional.ofNullable(headers.get("X-Id")));
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ScriptedEndpoint.java
@@ -0,0 +1,84 @@
+package org.lentilhinge.runtime.forward;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+/** An endpoint that keeps the bytes that it gets and answers them by a script. */
+final class ScriptedEndpoint {
+
+  private static final long WAIT_SECONDS = 10;
+
+  private final NetServer server;
+  private final List<String> requests = new CopyOnWriteArrayList<>();
+  private final List<NetSocket> sockets = new CopyOnWriteArrayList<>();
+  private final CountDownLatch closed = new CountDownLatch(1);
+  private final int port;
+
+  /**
+   * Starts an endpoint.
+   *
+   * @param vertx makes the server
+   * @param script answers a request, which is given as text
+   */
+  ScriptedEndpoint(Vertx vertx, BiConsumer<NetSocket, String> script) {
+    server =
+        vertx
+            .createNetServer()
+            .connectHandler(
+                socket -> {
+                  sockets.add(socket);
+                  StringBuilder pending = new StringBuilder();
+                  socket.handler(bytes -> taken(socket, pending.append(latin(bytes)), script));
+                  socket.closeHandler(nothing -> closed.countDown());
+                });
+    port =
+        server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join().actualPort();
+  }
+
+  private static String latin(Buffer bytes) {
+    return bytes.toString("ISO-8859-1");
+  }
+
+  private void taken(
+      NetSocket socket, StringBuilder pending, BiConsumer<NetSocket, String> script) {
+    String text = pending.toString();
+    int head = text.indexOf("\r\n\r\n");
+    if (head < 0) {
+      return;
+    }
+    int length = 0;
+    for (String line : text.substring(0, head).split("\r\n")) {
+      if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+        length = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+      }
+    }
+    if (text.length() >= head + 4 + length) {
+      requests.add(text);
+      pending.setLength(0);
+      script.accept(socket, text);
+    }
+  }
+
+  String address() {
+    return "127.0.0.1:" + port;
+  }
+
+  List<String> requests() {
+    return requests;
+  }
+
+  int connections() {
+    return sockets.size();
+  }
+
+  boolean awaitClosed() throws InterruptedException {
+    return closed.await(WAIT_SECONDS, TimeUnit.SECONDS);
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the forwarding path over sockets. */
+package org.lentilhinge.runtime.forward;
--- /dev/null
+++ b/tools/src/main/java/org/lentilhinge/tools/ForwardService.java
@@ -0,0 +1,88 @@
+package org.lentilhinge.tools;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.vavr.control.Either;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.rxjava3.ContextScheduler;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import org.lentilhinge.finding.Findings;
+import org.lentilhinge.platform.WirePlatform;
+import org.lentilhinge.runtime.forward.EventLog;
+import org.lentilhinge.runtime.forward.ForwardHost;
+import org.lentilhinge.runtime.forward.ForwardSettings;
+import org.lentilhinge.runtime.forward.ForwardSettingsReader;
+import org.lentilhinge.runtime.ini.IniReader;
+
+/** Runs one host of the forwarding path until it is told to stop. */
+final class ForwardService {
+
+  private final Console console;
+  private final StopSignal signal;
+
+  ForwardService(Console console, StopSignal signal) {
+    this.console = console;
+    this.signal = signal;
+  }
+
+  int run(String file, String text) {
+    Either<Findings, ForwardSettings> settings =
+        new ForwardSettingsReader(new IniReader()).read(file, text);
+    if (settings.isLeft()) {
+      console.err().println(settings.getLeft());
+      return ExitCode.REFUSED;
+    }
+    signal.arm();
+    int exitCode = serve(settings.get());
+    signal.finish(exitCode);
+    return exitCode;
+  }
+
+  private int serve(ForwardSettings settings) {
+    VertxOptions options = new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1);
+    Vertx vertx = Vertx.vertx(options);
+    try {
+      CompletableFuture<ForwardHost> started = new CompletableFuture<>();
+      Context loop = vertx.getOrCreateContext();
+      loop.runOnContext(nothing -> start(vertx, loop, settings, started));
+      ForwardHost host = started.join();
+      signal.await();
+      host.stop().toCompletionStage().toCompletableFuture().join();
+      return ExitCode.DONE;
+    } catch (CompletionException exception) {
+      console.err().println("lentilhinge serve: cannot serve: " + exception.getCause());
+      return ExitCode.UNAVAILABLE;
+    }
+  }
+
+  private void start(
+      Vertx vertx, Context loop, ForwardSettings settings, CompletableFuture<ForwardHost> started) {
+    try {
+      Scheduler scheduler = new ContextScheduler(loop, false);
+      ForwardHost host =
+          new ForwardHost(
+              vertx,
+              loop,
+              scheduler,
+              settings,
+              new WirePlatform(),
+              new EventLog(console.out(), System::currentTimeMillis),
+              new MetricRegistry(),
+              new ForwardHost.Clocks(
+                  () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+                  System::currentTimeMillis),
+              new Random());
+      host.start()
+          .onSuccess(nothing -> started.complete(host))
+          .onFailure(started::completeExceptionally);
+    } catch (RuntimeException | LinkageError failure) {
+      // Whoever waits for the start must hear of it.
+      started.completeExceptionally(failure);
+    }
+  }
+}
--- a/tools/src/main/java/org/lentilhinge/tools/ServeTool.java
+++ b/tools/src/main/java/org/lentilhinge/tools/ServeTool.java
@@ -14,6 +14,7 @@
 import org.lentilhinge.runtime.decision.DecisionLog;
 import org.lentilhinge.runtime.decision.JsonFormat;
 import org.lentilhinge.runtime.decision.KeyValueFormat;
+import org.lentilhinge.runtime.forward.ForwardSettingsReader;
 import org.lentilhinge.runtime.host.EntryHostServer;
 import org.lentilhinge.runtime.host.HostEnvironment;
 import org.lentilhinge.runtime.ini.IniReader;
@@ -57,8 +58,11 @@
     if (file == null) {
       throw new ParseException("--settings is missing");
     }
-    Either<Findings, Settings> settings =
-        new SettingsReader(new IniReader()).read(file, read(file));
+    String text = read(file);
+    if (ForwardSettingsReader.isForwarding(text)) {
+      return new ForwardService(console(), signal).run(file, text);
+    }
+    Either<Findings, Settings> settings = new SettingsReader(new IniReader()).read(file, text);
     if (settings.isLeft()) {
       console().err().println(settings.getLeft());
       return fail(ExitCode.REFUSED, file + " is refused");
