Keep the server open at a planned stop, so that running requests keep their answers

Cause: closing a Vert.x server closes the connections it accepted; 2.6 s after SIGTERM all streams of the host were cut. Ruled out: the grace (8 s, the host ended after 2.65 s).

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineDesks.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineDesks.java
@@ -121,6 +121,9 @@
 
   /** Tells all hosts how the engines of this host's desks stand. */
   void announce() {
+    if (state.isLeaving()) {
+      return;
+    }
     long now = context.now();
     for (HeldEngine desk : desks.values()) {
       EngineNotice notice = desk.notice();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -238,6 +238,10 @@
         namePeers();
         beacon();
       }
+      if (beacon.leaving()) {
+        // Its engines need a new holder; what it still holds it serves to those who asked before.
+        state.board().hostGone(host);
+      }
     } else if (message instanceof EngineNotice notice) {
       state.board().noted(host, notice, context.now());
       desks.noted(host, notice);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HttpFront.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HttpFront.java
@@ -116,9 +116,11 @@
     stopping = true;
   }
 
-  /** Closes the connections that carry no request, and takes no new ones. */
+  /**
+   * Closes the connections that carry no request. The server stays open: closing it would cut the
+   * connections whose requests are still running.
+   */
   public void closeIdle() {
-    server.close();
     List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
   }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -28,13 +28,14 @@
   private static final int SOCKET_MILLIS = 10_000;
 
   private final Vertx vertx;
+  private final Context loop;
   private final HttpFront front;
   private final int port;
 
   ForwardFixture(Vertx vertx, List<String> endpoints) {
     this.vertx = vertx;
     CompletableFuture<HttpFront> made = new CompletableFuture<>();
-    Context loop = vertx.getOrCreateContext();
+    loop = vertx.getOrCreateContext();
     CompletableFuture<Integer> listening = new CompletableFuture<>();
     loop.runOnContext(
         nothing -> {
@@ -145,6 +146,18 @@
         + body;
   }
 
+  /** Begins a planned stop on the event loop. */
+  void stop() {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    loop.runOnContext(
+        nothing -> {
+          front.stop();
+          front.closeIdle();
+          done.complete(null);
+        });
+    done.join();
+  }
+
   @Override
   public void close() {
     front.close();
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardingTrapsTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardingTrapsTest.java
@@ -252,6 +252,31 @@
     }
   }
 
+  @Test
+  public void plannedStopLeavesRunningRequestsTheirAnswers()
+      throws IOException, InterruptedException {
+    CountDownLatch arrived = new CountDownLatch(1);
+    List<NetSocket> waiting = new java.util.concurrent.CopyOnWriteArrayList<>();
+    ScriptedEndpoint slow =
+        endpoint(
+            (socket, request) -> {
+              waiting.add(socket);
+              arrived.countDown();
+            });
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(slow.address()));
+        Socket caller = fixture.open();
+        Socket idle = fixture.open()) {
+      caller.getOutputStream().write(unsafe().getBytes(StandardCharsets.ISO_8859_1));
+      assertTrue(arrived.await(10, TimeUnit.SECONDS));
+      fixture.stop();
+      assertEquals(idle.getInputStream().read(), -1);
+      waiting.get(0).write(ForwardFixture.answer("i", "late"));
+      String answer =
+          new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      assertTrue(answer.endsWith("late"), answer);
+    }
+  }
+
   @Test
   public void streamThatBreaksInsideAnEventDoesNotLookWhole() throws IOException {
     ScriptedEndpoint broken =
