Take no new connections once the balancer sends none to a stopping host

Cause: while half of a zone's hosts leave, the platform sends clients to all of them; connections opened 6.8 s after SIGTERM carried requests that the grace could not hold.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -60,6 +60,8 @@
     this.socket.messageHandler(this::received);
     this.socket.exceptionHandler(failure -> close());
     this.socket.closeHandler(nothing -> closed());
+    // Without a handler a server that shuts down would cut this connection at once.
+    this.socket.shutdownHandler(nothing -> closeIfIdle());
   }
 
   boolean isOpen() {
@@ -177,7 +179,7 @@
     usedMillis = front.now();
     front.finished();
     current = Optional.empty();
-    if (closing) {
+    if (closing || front.isStopping()) {
       open = false;
       // Closes after what was written before has left.
       socket.close();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -314,7 +314,7 @@
     vertx.setTimer(
         BALANCER_MILLIS,
         timer -> {
-          front.closeIdle();
+          front.closeIdle(end - context.now());
           vertx.setPeriodic(TICK_MILLIS, id -> finishLeaving(end));
         });
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HttpFront.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HttpFront.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -117,10 +118,13 @@
   }
 
   /**
-   * Closes the connections that carry no request. The server stays open: closing it would cut the
-   * connections whose requests are still running.
+   * Takes no new connections and closes those that carry no request. The others are left until
+   * their answers are whole, at most for a time.
+   *
+   * @param millis the longest time that running requests are left, in milliseconds
    */
-  public void closeIdle() {
+  public void closeIdle(long millis) {
+    server.shutdown(Math.max(1, millis), TimeUnit.MILLISECONDS);
     List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
   }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -152,7 +152,7 @@
     loop.runOnContext(
         nothing -> {
           front.stop();
-          front.closeIdle();
+          front.closeIdle(SOCKET_MILLIS);
           done.complete(null);
         });
     done.join();
