Let prompts join an engine only while the reading before them stays short

Cause: an event holds three tokens, each step reads up to 4,096 prompt tokens; with more than about 9,000 tokens queued three steps pass 400 ms and every running stream is late.

--- a/core/src/main/java/org/lentilhinge/permit/EngineDesk.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineDesk.java
@@ -299,7 +299,7 @@
     boolean fits =
         running.size() < settings.batchSlots()
             && (running.isEmpty() || runningTokens + tokens <= settings.memoryTokens())
-            && backlog.millis(nowMillis) <= settings.backlogMillis();
+            && backlog.takes(one.ask().promptTokens(), settings.backlogMillis(), nowMillis);
     if (!fits) {
       return;
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineDesks.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineDesks.java
@@ -20,7 +20,7 @@
   private static final int MAXIMUM_LOADS = 4;
 
   /** Prompts in an engine are read within this time, so that events of others stay on time. */
-  private static final long BACKLOG_MILLIS = 300;
+  private static final long BACKLOG_MILLIS = 250;
 
   /** A part of the engine's memory is left to requests whose answers grow. */
   private static final double MEMORY_PART = 0.9;
