Learn waits and reading speed at desks, count own asks, and keep adapters at their homes

A load away from home now costs 500 ms in the choice, at home 200; a host counts its own asks until the next notice (200 ms instead of 400); desks learn the wait for each slot and the reading speed, bound the reading before a prompt to 120 ms, say when they will be able to order, and close the adapter whose runs end soonest.

--- a/core/src/main/java/org/lentilhinge/forward/EndpointScores.java
+++ b/core/src/main/java/org/lentilhinge/forward/EndpointScores.java
@@ -102,6 +102,30 @@
     }
   }
 
+  /**
+   * Notes that an endpoint could not be reached at all, which tells more than a failed answer.
+   *
+   * @param life the endpoint's life
+   * @param nowMillis the time
+   */
+  public void unreachable(String life, long nowMillis) {
+    Score score = scores.computeIfAbsent(life, unused -> new Score());
+    score.failures = 1;
+    score.failedMillis = nowMillis;
+  }
+
+  /**
+   * Weighs the latest failures of an endpoint.
+   *
+   * @param life the endpoint's life
+   * @param nowMillis the time
+   * @return their cost as a time, in milliseconds
+   */
+  public double failureMillis(String life, long nowMillis) {
+    Score score = scores.get(life);
+    return score == null ? 0 : score.failures(nowMillis) * FAILURE_MILLIS;
+  }
+
   /**
    * Forgets an endpoint.
    *
--- a/core/src/main/java/org/lentilhinge/permit/EngineBoard.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineBoard.java
@@ -2,9 +2,11 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.ZoneDistances;
 import org.lentilhinge.lease.RendezvousHash;
@@ -19,24 +21,34 @@
   private static final long NOTICE_MILLIS = 2_500;
 
   /** What a load costs at the adapter's home, which probably held it lately, in milliseconds. */
-  private static final double HOME_LOAD_MILLIS = 120;
+  private static final double HOME_LOAD_MILLIS = 200;
 
   /** What a load costs elsewhere, in milliseconds. */
-  private static final double LOAD_MILLIS = 300;
+  private static final double LOAD_MILLIS = 500;
 
   /** What each request that waits for a slot adds, in milliseconds. */
   private static final double WAITING_MILLIS = 150;
 
+  /** The speed at which engines read prompts, in tokens a millisecond. */
+  private static final double TOKENS_PER_MILLI = 22;
+
   /** What having no slot to give adds, in milliseconds. */
   private static final double FULL_MILLIS = 300;
 
   private final Map<String, Noted> notices = new HashMap<>();
+  private final Map<String, Asked> asked = new HashMap<>();
 
   /** Makes a board without notices. */
   public EngineBoard() {}
 
   private record Noted(String host, EngineNotice notice, long atMillis) {}
 
+  /** What this host has asked of an engine since the last notice, which does not count it yet. */
+  private static final class Asked {
+    private double readingMillis;
+    private final Set<String> adapters = new HashSet<>();
+  }
+
   /**
    * Takes a notice.
    *
@@ -49,9 +61,23 @@
     boolean stronger = former == null || former.host().equals(host) || notice.holding();
     if (stronger || nowMillis - former.atMillis() > NOTICE_MILLIS) {
       notices.put(notice.life(), new Noted(host, notice, nowMillis));
+      asked.remove(notice.life());
     }
   }
 
+  /**
+   * Counts an ask of this host's own until the next notice does.
+   *
+   * @param life the engine's life
+   * @param adapter the adapter's name, or an empty text
+   * @param promptTokens the tokens to read
+   */
+  public void asked(String life, String adapter, int promptTokens) {
+    Asked own = asked.computeIfAbsent(life, unused -> new Asked());
+    own.readingMillis += promptTokens / TOKENS_PER_MILLI;
+    own.adapters.add(adapter);
+  }
+
   /**
    * Forgets what a host said.
    *
@@ -68,6 +94,7 @@
    */
   public void forget(String life) {
     notices.remove(life);
+    asked.remove(life);
   }
 
   /**
@@ -93,6 +120,7 @@
    * @param excluded the lives that refused the request
    * @param adapter the adapter's name, or an empty text
    * @param distances how far each zone is
+   * @param failures what the failures of an engine cost, in milliseconds
    * @param nowMillis the time
    * @return the engine with the least wait to expect
    */
@@ -101,6 +129,7 @@
       Set<String> excluded,
       String adapter,
       ZoneDistances distances,
+      ToDoubleFunction<FleetEndpoint> failures,
       long nowMillis) {
     Optional<String> home = home(engines, adapter, distances);
     return engines.stream()
@@ -108,8 +137,10 @@
         .min(
             (first, second) ->
                 Double.compare(
-                    costMillis(first, adapter, home, distances, nowMillis),
-                    costMillis(second, adapter, home, distances, nowMillis)));
+                    failures.applyAsDouble(first)
+                        + costMillis(first, adapter, home, distances, nowMillis),
+                    failures.applyAsDouble(second)
+                        + costMillis(second, adapter, home, distances, nowMillis)));
   }
 
   /** Finds the adapter's home among the engines of the nearest region that has any. */
@@ -139,8 +170,12 @@
       long nowMillis) {
     double cost = distances.millis(engine.zone());
     Optional<EngineNotice> notice = current(engine.life(), nowMillis).map(Noted::notice);
+    Asked own = asked.get(engine.life());
     boolean there =
-        adapter.isEmpty() || notice.filter(known -> known.adapters().contains(adapter)).isPresent();
+        adapter.isEmpty()
+            || (own != null && own.adapters.contains(adapter))
+            || notice.filter(known -> known.adapters().contains(adapter)).isPresent();
+    cost += own == null ? 0 : own.readingMillis;
     if (!there) {
       cost += home.equals(Optional.of(engine.life())) ? HOME_LOAD_MILLIS : LOAD_MILLIS;
     }
--- a/core/src/main/java/org/lentilhinge/permit/EngineDesk.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineDesk.java
@@ -22,31 +22,39 @@
   /** Waiting longer than this part of its aim is no use: it comes back, or another engine helps. */
   private static final double PATIENCE = 1.2;
 
-  /** The time in which a slot typically turns over: a load, a prompt and some events. */
-  private static final double TURNOVER_MILLIS = 900;
-
   /** The time that a request needs at the engine beyond its wait, before its deadline. */
   private static final long LEAST_RUN_MILLIS = 300;
 
   private static final long LEAST_RETRY_MILLIS = 100;
 
+  /** What a first event takes beyond waiting and reading, in milliseconds. */
+  private static final long FIRST_EVENT_MILLIS = 60;
+
+  /** The usual time from token to token, to tell which adapter is free soonest. */
+  private static final double TOKEN_MILLIS = 12;
+
+  /** Marks a request that does not wait for a slot of its own. */
+  private static final int NO_SLOT = -1;
+
   private final DeskSettings settings;
   private final String model;
   private final AdapterSlots slots;
   private final AdapterDemand demand = new AdapterDemand();
   private final PromptBacklog backlog;
+  private final SlotTurnover turnover = new SlotTurnover();
   private final Map<String, Waiting> waiting = new LinkedHashMap<>();
   private final Map<String, Running> running = new LinkedHashMap<>();
   private Optional<String> closed = Optional.empty();
   private boolean modelPresent;
   private boolean modelOrdered;
   private boolean ordering;
+  private long orderingInMillis = LEAST_RETRY_MILLIS;
   private int runningTokens;
 
   /** The slots that become free for adapters that wait, and are not counted on by one yet. */
   private int unclaimedSlots;
 
-  private record Waiting(String host, PermitAsk ask, long arrivedMillis) {
+  private record Waiting(String host, PermitAsk ask, long arrivedMillis, int slotsAhead) {
 
     long aimAtMillis() {
       return arrivedMillis + ask.aimMillis();
@@ -57,7 +65,12 @@
     }
   }
 
-  private record Running(String host, PermitAsk ask) {}
+  private record Running(String host, PermitAsk ask, long grantedMillis, long readMillis) {
+
+    long endMillis() {
+      return grantedMillis + Math.round(ask.outputTokens() * TOKEN_MILLIS);
+    }
+  }
 
   /**
    * Opens a desk.
@@ -108,6 +121,15 @@
     ordering = allowed;
   }
 
+  /**
+   * Tells when this host may be able to order the engine.
+   *
+   * @param millis the time until then, in milliseconds
+   */
+  public void orderingIn(long millis) {
+    orderingInMillis = Math.max(LEAST_RETRY_MILLIS, millis);
+  }
+
   /**
    * Takes an ask.
    *
@@ -120,34 +142,44 @@
     demand.asked(ask.adapter(), nowMillis);
     boolean there = ask.adapter().isEmpty() || slots.find(ask.adapter()).isPresent();
     if (!ordering && !(there && modelPresent)) {
-      return List.of(refusal(host, ask, LEAST_RETRY_MILLIS, "no-holder", 0));
+      return List.of(refusal(host, ask, orderingInMillis, "no-holder", 0));
     }
     long expected = expectedWaitMillis(ask, nowMillis);
-    if (expected > ask.aimMillis() && expected > LEAST_RUN_MILLIS) {
+    long first = expected + backlog.readingMillis(ask.promptTokens()) + FIRST_EVENT_MILLIS;
+    if (first > ask.aimMillis() && expected > LEAST_RUN_MILLIS) {
       return List.of(refusal(host, ask, expected, "no-room", 0));
     }
-    waiting.put(key(host, ask.ask()), new Waiting(host, ask, nowMillis));
+    int ahead = needsSlot(ask) ? slotsAhead() : NO_SLOT;
+    waiting.put(key(host, ask.ask()), new Waiting(host, ask, nowMillis, ahead));
     return decide(nowMillis);
   }
 
   private long expectedWaitMillis(PermitAsk ask, long nowMillis) {
-    long reading = Math.max(0, backlog.millis(nowMillis) - settings.backlogMillis());
-    boolean there =
-        ask.adapter().isEmpty()
-            || slots.find(ask.adapter()).isPresent()
-            || slots.available() > 0
-            || waiting.values().stream().anyMatch(one -> sameAdapter(one.ask(), ask));
-    if (there) {
-      return reading;
-    }
+    long reading = Math.max(0, readingMillis(nowMillis) - settings.backlogMillis());
+    return needsSlot(ask) ? Math.max(reading, turnover.waitMillis(slotsAhead())) : reading;
+  }
+
+  /** Adds what waits here to what the engine is still reading. */
+  private long readingMillis(long nowMillis) {
+    int tokens = waiting.values().stream().mapToInt(one -> one.ask().promptTokens()).sum();
+    return backlog.millis(nowMillis) + backlog.readingMillis(tokens);
+  }
+
+  private boolean needsSlot(PermitAsk ask) {
+    return !ask.adapter().isEmpty()
+        && slots.find(ask.adapter()).isEmpty()
+        && slots.available() == 0
+        && waiting.values().stream().noneMatch(one -> sameAdapter(one.ask(), ask));
+  }
+
+  private int slotsAhead() {
     Set<String> absent = new HashSet<>();
     for (Waiting one : waiting.values()) {
       if (slots.find(one.ask().adapter()).isEmpty()) {
         absent.add(one.ask().adapter());
       }
     }
-    double turns = (absent.size() + 1.0) / Math.max(1, settings.adapterSlots());
-    return Math.max(reading, Math.round(turns * TURNOVER_MILLIS));
+    return absent.size();
   }
 
   private static boolean sameAdapter(PermitAsk first, PermitAsk second) {
@@ -169,6 +201,9 @@
       return decide(nowMillis);
     }
     runningTokens -= tokens(run.ask());
+    if (end.firstMillis() > 0) {
+      backlog.observed(run.readMillis(), end.firstMillis());
+    }
     Optional<AdapterSlot> slot = slots.find(run.ask().adapter());
     slot.ifPresent(
         found -> {
@@ -205,7 +240,7 @@
     List<DeskCommand> commands = new ArrayList<>();
     for (Running run : List.copyOf(running.values())) {
       if (run.host().equals(host)) {
-        PermitEnd end = new PermitEnd(run.ask().ask(), PermitEnd.Ending.DONE);
+        PermitEnd end = new PermitEnd(run.ask().ask(), PermitEnd.Ending.DONE, 0);
         commands.addAll(ended(host, end, nowMillis));
       }
     }
@@ -304,10 +339,11 @@
       return;
     }
     String key = key(one.host(), one.ask().ask());
+    learn(one, nowMillis);
     waiting.remove(key);
-    running.put(key, new Running(one.host(), one.ask()));
+    long readMillis = backlog.add(one.ask().promptTokens(), nowMillis);
+    running.put(key, new Running(one.host(), one.ask(), nowMillis, readMillis));
     runningTokens += tokens;
-    backlog.add(one.ask().promptTokens(), nowMillis);
     slot.ifPresent(
         found -> {
           found.users++;
@@ -320,6 +356,12 @@
             nowMillis - one.arrivedMillis()));
   }
 
+  private void learn(Waiting one, long nowMillis) {
+    if (one.slotsAhead() != NO_SLOT) {
+      turnover.waited(one.slotsAhead(), nowMillis - one.arrivedMillis());
+    }
+  }
+
   private void makeRoom(
       Waiting one, Set<String> wanted, long nowMillis, List<DeskCommand> commands) {
     if (!ordering || slots.loading() >= settings.maximumLoads()) {
@@ -335,7 +377,7 @@
     }
     Optional<AdapterSlot> victim = slots.victim(wanted, demand, nowMillis);
     if (victim.isEmpty() && nowMillis - one.arrivedMillis() >= CLOSE_AFTER_MILLIS) {
-      victim = closeOne(nowMillis);
+      victim = closeOne(wanted);
     }
     victim.ifPresent(
         slot -> {
@@ -346,21 +388,30 @@
         });
   }
 
-  /** Closes the adapter that the fewest use, until its runs have ended and it can make way. */
-  private Optional<AdapterSlot> closeOne(long nowMillis) {
+  /** Closes the adapter whose runs end soonest, until they have ended and it can make way. */
+  private Optional<AdapterSlot> closeOne(Set<String> wanted) {
     Optional<AdapterSlot> current = closed.flatMap(slots::find);
     if (current.isEmpty()) {
       current =
           slots.all().stream()
               .filter(slot -> slot.state == AdapterSlot.State.RESIDENT)
               .min(
-                  Comparator.<AdapterSlot>comparingInt(slot -> slot.users)
-                      .thenComparingDouble(slot -> demand.of(slot.adapter, nowMillis)));
+                  Comparator.<AdapterSlot>comparingInt(
+                          slot -> wanted.contains(slot.adapter) ? 1 : 0)
+                      .thenComparingLong(this::endMillis));
       closed = current.map(slot -> slot.adapter);
     }
     return current.filter(AdapterSlot::isIdle);
   }
 
+  private long endMillis(AdapterSlot slot) {
+    return running.values().stream()
+        .filter(run -> run.ask().adapter().equals(slot.adapter))
+        .mapToLong(Running::endMillis)
+        .max()
+        .orElse(0);
+  }
+
   private void load(PermitAsk ask, String reason, long nowMillis, List<DeskCommand> commands) {
     Optional<AdapterSlot> former = slots.find(ask.adapter());
     AdapterSlot slot =
@@ -377,6 +428,7 @@
       long waited = nowMillis - one.arrivedMillis();
       boolean hopeless = waited + LEAST_RUN_MILLIS >= one.ask().deadlineMillis();
       if (hopeless || waited >= one.ask().aimMillis() * PATIENCE) {
+        learn(one, nowMillis);
         waiting.remove(key(one.host(), one.ask().ask()));
         long expected = expectedWaitMillis(one.ask(), nowMillis);
         commands.add(refusal(one.host(), one.ask(), expected, "waited-in-vain", waited));
@@ -401,7 +453,25 @@
    */
   public EngineNotice notice(String life, boolean holding, long nowMillis) {
     return new EngineNotice(
-        life, holding, slots.names(), backlog.millis(nowMillis), slots.available(), waiting.size());
+        life, holding, slots.names(), readingMillis(nowMillis), slots.available(), slotsAhead());
+  }
+
+  /**
+   * Tells whether anybody waits.
+   *
+   * @return whether time alone may make a decision due
+   */
+  public boolean hasWaiting() {
+    return !waiting.isEmpty();
+  }
+
+  /**
+   * Gets the speed at which the engine is believed to read prompts.
+   *
+   * @return tokens in a millisecond
+   */
+  public double promptTokensPerMilli() {
+    return backlog.speed();
   }
 
   /**
--- a/core/src/main/java/org/lentilhinge/permit/EngineHold.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineHold.java
@@ -128,6 +128,17 @@
     return (revision * ORDERS + Math.min(ORDERS - 1, orders.orElse(0))) * HOSTS + hostNumber;
   }
 
+  /**
+   * Tells when the engine can be taken at the earliest.
+   *
+   * @param rank the place of this host among those that may take it; 0 is the first
+   * @param nowMillis the time
+   * @return the time until then, in milliseconds
+   */
+  public long dueInMillis(int rank, long nowMillis) {
+    return Math.max(0, stillSinceMillis + stillnessMillis(rank) - nowMillis);
+  }
+
   private long stillnessMillis(int rank) {
     return leaseMillis + REPORT_AGE_MILLIS + rank * RANK_DELAY_MILLIS;
   }
--- a/core/src/main/java/org/lentilhinge/permit/PermitEnd.java
+++ b/core/src/main/java/org/lentilhinge/permit/PermitEnd.java
@@ -7,8 +7,10 @@
  *
  * @param ask the ask's number
  * @param ending how the permit's request ended
+ * @param firstMillis the time from sending to the first part of the answer, in milliseconds; 0 if
+ *     none came
  */
-public record PermitEnd(long ask, Ending ending) implements PeerMessage {
+public record PermitEnd(long ask, Ending ending, long firstMillis) implements PeerMessage {
 
   /** Names the ways in which a permit ends. */
   public enum Ending {
--- a/core/src/test/java/org/lentilhinge/permit/EngineBoardTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineBoardTest.java
@@ -25,7 +25,10 @@
   }
 
   private String chosen(EngineBoard board, String adapter, long nowMillis) {
-    return board.choose(engines, Set.of(), adapter, distances, nowMillis).orElseThrow().id();
+    return board
+        .choose(engines, Set.of(), adapter, distances, engine -> 0, nowMillis)
+        .orElseThrow()
+        .id();
   }
 
   private static EngineNotice notice(String id, List<String> adapters, long backlog, int free) {
--- a/core/src/test/java/org/lentilhinge/permit/EngineDeskTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineDeskTest.java
@@ -88,7 +88,7 @@
     for (String adapter : List.of("a", "b", "c", "e", "f")) {
       PermitAsk ask = fresh.ask(adapter);
       fresh.desk.ask("h", ask, 0);
-      fresh.desk.ended("h", new PermitEnd(ask.ask(), PermitEnd.Ending.DONE), 100);
+      fresh.desk.ended("h", new PermitEnd(ask.ask(), PermitEnd.Ending.DONE, 0), 100);
     }
     List<AdapterOrder> orders = orders(fresh.desk.ask("h", fresh.ask("x"), 200));
     assertEquals(orders, List.of(new AdapterOrder(false, "m", "d", 0)));
@@ -111,7 +111,7 @@
     assertTrue(orders(fresh.desk.decide(400)).isEmpty());
     List<AdapterOrder> orders = new ArrayList<>();
     for (PermitAsk one : running) {
-      PermitEnd end = new PermitEnd(one.ask(), PermitEnd.Ending.DONE);
+      PermitEnd end = new PermitEnd(one.ask(), PermitEnd.Ending.DONE, 0);
       orders.addAll(orders(fresh.desk.ended("h", end, 500)));
     }
     assertEquals(orders.stream().filter(order -> !order.load()).count(), 1);
@@ -133,7 +133,7 @@
     PermitAsk ask = fresh.ask("a");
     fresh.desk.ask("h", ask, 0);
     List<AdapterOrder> orders =
-        orders(fresh.desk.ended("h", new PermitEnd(ask.ask(), PermitEnd.Ending.ABSENT), 5));
+        orders(fresh.desk.ended("h", new PermitEnd(ask.ask(), PermitEnd.Ending.ABSENT, 0), 5));
     assertEquals(orders, List.of(new AdapterOrder(true, "m", "a", 0)));
     assertEquals(fresh.desk.notice("e", true, 5).freeSlots(), 5);
   }
@@ -218,7 +218,7 @@
       } else if (choice == 1 && !granted.isEmpty()) {
         long ask = granted.get(random.nextInt(granted.size()));
         running.remove(ask);
-        commands.addAll(fresh.desk.ended("h", new PermitEnd(ask, PermitEnd.Ending.DONE), now));
+        commands.addAll(fresh.desk.ended("h", new PermitEnd(ask, PermitEnd.Ending.DONE, 0), now));
       } else if (choice == 2 && !engine.open.isEmpty()) {
         AdapterOrder order = engine.open.iterator().next();
         engine.open.remove(order);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -30,6 +30,7 @@
    */
   private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
+  private static final String NO_CONNECTION = "no-connection";
   private static final String EVENT_STREAM = "text/event-stream";
 
   private final Forwarder forwarder;
@@ -46,6 +47,7 @@
   private boolean sent;
   private boolean streaming;
   private boolean over;
+  private long firstMillis;
 
   EndpointAttempt(
       Forwarder forwarder,
@@ -71,6 +73,11 @@
     return sent;
   }
 
+  /** Gets the time from the start to the first event, in milliseconds; 0 if none came. */
+  long firstMillis() {
+    return firstMillis;
+  }
+
   int status() {
     return response.map(answer -> answer.status().code()).orElse(0);
   }
@@ -90,7 +97,7 @@
         result.result().close();
       }
     } else if (result.failed()) {
-      end(AttemptOutcome.NOT_SENT, "no-connection");
+      end(AttemptOutcome.NOT_SENT, NO_CONNECTION);
     } else if (!forwarder.state().endpoints().isUsable(endpoint)) {
       // What was believed when the endpoint was chosen may have changed since.
       result.result().close();
@@ -159,6 +166,7 @@
     }
     ByteBuf whole = events.add(part);
     if (whole.isReadable()) {
+      firstMillis = firstMillis == 0 ? tookMillis() : firstMillis;
       beginStream();
       exchange.write(whole);
     }
@@ -233,6 +241,9 @@
     over = true;
     boolean failed = outcome != AttemptOutcome.ANSWERED || status() >= 500;
     note(failed);
+    if (reason.equals(NO_CONNECTION)) {
+      forwarder.state().scores().unreachable(endpoint.life(), forwarder.context().now());
+    }
     request.attemptEnded(this, outcome, reason, events.lastId());
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineDesks.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineDesks.java
@@ -19,8 +19,10 @@
   /** The adapters that an engine fetches at once, as its operators publish. */
   private static final int MAXIMUM_LOADS = 4;
 
-  /** Prompts in an engine are read within this time, so that events of others stay on time. */
-  private static final long BACKLOG_MILLIS = 250;
+  /**
+   * Prompts that an engine reads between two tokens of others, of which an event may hold three.
+   */
+  private static final long BACKLOG_MILLIS = 120;
 
   /** A part of the engine's memory is left to requests whose answers grow. */
   private static final double MEMORY_PART = 0.9;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -43,7 +43,7 @@
   private static final long TICK_MILLIS = 50;
 
   /** Beacons and notices are sent this often, in milliseconds. */
-  private static final long ANNOUNCE_MILLIS = 400;
+  private static final long ANNOUNCE_MILLIS = 200;
 
   /** The balancer sends nothing new after two questions a second apart, in milliseconds. */
   private static final long BALANCER_MILLIS = 2_600;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -24,6 +24,9 @@
   /** Engines that are asked for a permit before the caller is told to come back. */
   private static final int MAXIMUM_ASKS = 3;
 
+  /** The part of the target time in which further engines are asked. */
+  private static final double ASKING_PART = 2;
+
   /** Less time than this is no use to any endpoint, in milliseconds. */
   private static final long LEAST_MILLIS = 20;
 
@@ -142,7 +145,13 @@
     Optional<FleetEndpoint> chosen =
         state
             .board()
-            .choose(engines, excluded, generation.adapter(), state.distances(), context.now());
+            .choose(
+                engines,
+                excluded,
+                generation.adapter(),
+                state.distances(),
+                engine -> state.scores().failureMillis(engine.life(), context.now()),
+                context.now());
     if (chosen.isEmpty() || asks >= MAXIMUM_ASKS) {
       giveUp(chosen.isEmpty() ? "no-engine" : "no-room");
       return;
@@ -179,6 +188,7 @@
         version,
         "tokens",
         generation.promptTokens() + "+" + generation.outputTokens());
+    state.board().asked(engine.life(), generation.adapter(), generation.promptTokens());
     permit = Optional.of(new Permit(desk, ask.ask()));
     forwarder.permits().ask(desk, ask, answer -> permitted(engine, version, answer));
   }
@@ -196,7 +206,12 @@
     line("not-permitted", "engine", engine.id(), "why", answer.reason());
     long told = answer.retryMillis();
     retryMillis = OptionalLong.of(Math.min(told, retryMillis.orElse(told)));
-    next();
+    if (context.now() - arrivedMillis > route.targetMillis() * ASKING_PART) {
+      // What has waited at one engine for long is better told to come back than made to wait again.
+      giveUp(answer.reason());
+    } else {
+      next();
+    }
   }
 
   private void send(FleetEndpoint endpoint, OptionalLong version) {
@@ -244,7 +259,7 @@
         "tookMs",
         ended.tookMillis());
     attempt = Optional.empty();
-    releasePermit(ending(outcome, ended.status()));
+    releasePermit(ending(outcome, ended.status()), ended.firstMillis());
     if (done) {
       return;
     }
@@ -272,8 +287,8 @@
     return status == 421 ? PermitEnd.Ending.ABSENT : PermitEnd.Ending.REFUSED;
   }
 
-  private void releasePermit(PermitEnd.Ending ending) {
-    permit.ifPresent(held -> forwarder.permits().end(held.host(), held.ask(), ending));
+  private void releasePermit(PermitEnd.Ending ending, long firstMillis) {
+    permit.ifPresent(held -> forwarder.permits().end(held.host(), held.ask(), ending, firstMillis));
     permit = Optional.empty();
   }
 
@@ -320,7 +335,7 @@
   private void finish(String outcome) {
     done = true;
     context.vertx().cancelTimer(timer);
-    releasePermit(PermitEnd.Ending.DONE);
+    releasePermit(PermitEnd.Ending.DONE, 0);
     forwarder.count("ended." + outcome);
     line(
         "end",
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
@@ -34,6 +34,12 @@
   /** The wait after an order that met another count than expected, in milliseconds. */
   private static final long CONFLICT_MILLIS = 150;
 
+  /** The pace at which waiting requests are looked at, in milliseconds. */
+  private static final long DECIDE_MILLIS = 15;
+
+  /** The shortest time between two readings of an engine that may not answer, in milliseconds. */
+  private static final long READ_PAUSE_MILLIS = 300;
+
   /** An order that is not done after this time has failed, in milliseconds. */
   private static final long ORDER_MILLIS = 10_000;
 
@@ -49,6 +55,8 @@
   private final Set<AdapterOrder> counted = new HashSet<>();
   private boolean sending;
   private boolean reading;
+  private boolean deciding;
+  private long readMillis;
   private boolean closed;
 
   HeldEngine(
@@ -112,8 +120,11 @@
   void tick() {
     carryOut(desk.decide(context.now()));
     int rank = state.ranking(engine).indexOf(context.host());
-    if (!hold.isHolding() && rank >= 0 && hold.isDue(rank, context.now())) {
-      read("take");
+    if (!hold.isHolding() && rank >= 0) {
+      desk.orderingIn(hold.dueInMillis(rank, context.now()));
+      if (hold.isDue(rank, context.now()) && context.now() - readMillis >= READ_PAUSE_MILLIS) {
+        read("take");
+      }
     }
   }
 
@@ -122,6 +133,7 @@
       return;
     }
     reading = true;
+    readMillis = context.now();
     control
         .report(engine)
         .onComplete(
@@ -202,6 +214,22 @@
       }
     }
     sendNext();
+    decideSoon();
+  }
+
+  /** Looks again shortly while requests wait for prompts to be read. */
+  private void decideSoon() {
+    if (!deciding && !closed && desk.hasWaiting()) {
+      deciding = true;
+      context
+          .vertx()
+          .setTimer(
+              DECIDE_MILLIS,
+              id -> {
+                deciding = false;
+                carryOut(desk.decide(context.now()));
+              });
+    }
   }
 
   private void log(String event, AdapterOrder order, Object outcome) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/PermitClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/PermitClient.java
@@ -46,14 +46,14 @@
       waiting.answered().accept(answer);
     } else if (answer.granted()) {
       // Nobody waits any more: the permit goes back at once.
-      end(host, answer.ask(), PermitEnd.Ending.DONE);
+      end(host, answer.ask(), PermitEnd.Ending.DONE, 0);
     }
   }
 
   /** Gives a permit back, or withdraws an ask. */
-  void end(String host, long ask, PermitEnd.Ending ending) {
+  void end(String host, long ask, PermitEnd.Ending ending, long firstMillis) {
     open.remove(ask);
-    peers.send(host, new PermitEnd(ask, ending));
+    peers.send(host, new PermitEnd(ask, ending, firstMillis));
   }
 
   /** Answers all asks at a host that is gone. */
