Close used adapters later while several wait for a slot

Cause: under load a used adapter was closed after 150 ms for each rare one, so that requests for common adapters waited for drains and reloads. Chosen: 150 ms for a lone one, 600 ms otherwise.

--- a/core/src/main/java/org/lentilhinge/permit/EngineDesk.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineDesk.java
@@ -16,9 +16,12 @@
  */
 public final class EngineDesk {
 
-  /** The time that a request for an absent adapter waits before a used adapter is closed for it. */
+  /** The time that a lone request for an absent adapter waits before a used one is closed. */
   private static final long CLOSE_AFTER_MILLIS = 150;
 
+  /** The same while several wait: the slots are short, and used adapters serve most requests. */
+  private static final long CLOSE_AFTER_WHEN_SHORT_MILLIS = 600;
+
   /** Waiting longer than this part of its aim is no use: it comes back, or another engine helps. */
   private static final double PATIENCE = 1.2;
 
@@ -376,7 +379,7 @@
       return;
     }
     Optional<AdapterSlot> victim = slots.victim(wanted, demand, nowMillis);
-    if (victim.isEmpty() && nowMillis - one.arrivedMillis() >= CLOSE_AFTER_MILLIS) {
+    if (victim.isEmpty() && nowMillis - one.arrivedMillis() >= closeAfterMillis()) {
       victim = closeOne(wanted);
     }
     victim.ifPresent(
@@ -388,6 +391,10 @@
         });
   }
 
+  private long closeAfterMillis() {
+    return slotsAhead() <= 1 ? CLOSE_AFTER_MILLIS : CLOSE_AFTER_WHEN_SHORT_MILLIS;
+  }
+
   /** Closes the adapter whose runs end soonest, until they have ended and it can make way. */
   private Optional<AdapterSlot> closeOne(Set<String> wanted) {
     Optional<AdapterSlot> current = closed.flatMap(slots::find);
