Send nothing to an engine that does not answer, and split the desk

A failed report, an unanswered order or a permit that found no connection now refuses all at once for 1 s or until a report comes.

--- a/core/src/main/java/org/lentilhinge/permit/EngineDesk.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineDesk.java
@@ -2,8 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,14 +28,13 @@
 
   private static final long LEAST_RETRY_MILLIS = 100;
 
+  /** An engine that was not reached is not asked of again for this time, in milliseconds. */
+  private static final long UNREACHABLE_MILLIS = 1_000;
+
   /** What a first event takes beyond waiting and reading, in milliseconds. */
   private static final long FIRST_EVENT_MILLIS = 60;
 
-  /** The usual time from token to token, to tell which adapter is free soonest. */
-  private static final double TOKEN_MILLIS = 12;
-
-  /** Marks a request that does not wait for a slot of its own. */
-  private static final int NO_SLOT = -1;
+  private static final String UNREACHABLE = "engine-unreachable";
 
   private final DeskSettings settings;
   private final String model;
@@ -45,36 +42,18 @@
   private final AdapterDemand demand = new AdapterDemand();
   private final PromptBacklog backlog;
   private final SlotTurnover turnover = new SlotTurnover();
-  private final Map<String, Waiting> waiting = new LinkedHashMap<>();
-  private final Map<String, Running> running = new LinkedHashMap<>();
+  private final RequestQueue waiting = new RequestQueue();
+  private final RunningRequests running = new RunningRequests();
   private Optional<String> closed = Optional.empty();
+  private long unreachableUntilMillis;
   private boolean modelPresent;
   private boolean modelOrdered;
   private boolean ordering;
   private long orderingInMillis = LEAST_RETRY_MILLIS;
-  private int runningTokens;
 
   /** The slots that become free for adapters that wait, and are not counted on by one yet. */
   private int unclaimedSlots;
 
-  private record Waiting(String host, PermitAsk ask, long arrivedMillis, int slotsAhead) {
-
-    long aimAtMillis() {
-      return arrivedMillis + ask.aimMillis();
-    }
-
-    boolean canBeOnTime(long nowMillis) {
-      return nowMillis < aimAtMillis();
-    }
-  }
-
-  private record Running(String host, PermitAsk ask, long grantedMillis, long readMillis) {
-
-    long endMillis() {
-      return grantedMillis + Math.round(ask.outputTokens() * TOKEN_MILLIS);
-    }
-  }
-
   /**
    * Opens a desk.
    *
@@ -109,7 +88,7 @@
         (name, version) -> slots.put(name, version, AdapterSlot.State.RESIDENT, nowMillis));
     coming.forEach(
         (name, version) -> slots.put(name, version, AdapterSlot.State.LOADING, nowMillis));
-    for (Running run : running.values()) {
+    for (RunningRequests.Running run : running.all()) {
       slots.find(run.ask().adapter()).ifPresent(slot -> slot.users++);
     }
   }
@@ -133,6 +112,38 @@
     orderingInMillis = Math.max(LEAST_RETRY_MILLIS, millis);
   }
 
+  /**
+   * Notes that the engine did not answer: nothing is sent to it until it does, or for a while.
+   *
+   * @param nowMillis the time
+   * @return refusals for all that wait
+   */
+  public List<DeskCommand> unreachable(long nowMillis) {
+    unreachableUntilMillis = nowMillis + UNREACHABLE_MILLIS;
+    List<DeskCommand> commands = new ArrayList<>();
+    for (WaitingRequest one : waiting.all()) {
+      long waited = one.waitedMillis(nowMillis);
+      commands.add(refusal(one.host(), one.ask(), UNREACHABLE_MILLIS, UNREACHABLE, waited));
+    }
+    waiting.clear();
+    return commands;
+  }
+
+  /** Notes that the engine answered. */
+  public void reachable() {
+    unreachableUntilMillis = 0;
+  }
+
+  /**
+   * Tells whether the engine did not answer lately.
+   *
+   * @param nowMillis the time
+   * @return whether nothing is sent to it
+   */
+  public boolean isUnreachable(long nowMillis) {
+    return nowMillis < unreachableUntilMillis;
+  }
+
   /**
    * Takes an ask.
    *
@@ -143,6 +154,9 @@
    */
   public List<DeskCommand> ask(String host, PermitAsk ask, long nowMillis) {
     demand.asked(ask.adapter(), nowMillis);
+    if (isUnreachable(nowMillis)) {
+      return List.of(refusal(host, ask, UNREACHABLE_MILLIS, UNREACHABLE, 0));
+    }
     boolean there = ask.adapter().isEmpty() || slots.find(ask.adapter()).isPresent();
     if (!ordering && !(there && modelPresent)) {
       return List.of(refusal(host, ask, orderingInMillis, "no-holder", 0));
@@ -152,41 +166,28 @@
     if (first > ask.aimMillis() && expected > LEAST_RUN_MILLIS) {
       return List.of(refusal(host, ask, expected, "no-room", 0));
     }
-    int ahead = needsSlot(ask) ? slotsAhead() : NO_SLOT;
-    waiting.put(key(host, ask.ask()), new Waiting(host, ask, nowMillis, ahead));
+    int ahead = needsSlot(ask) ? waiting.slotsWanted(slots) : WaitingRequest.NO_SLOT;
+    waiting.add(new WaitingRequest(host, ask, nowMillis, ahead));
     return decide(nowMillis);
   }
 
   private long expectedWaitMillis(PermitAsk ask, long nowMillis) {
     long reading = Math.max(0, readingMillis(nowMillis) - settings.backlogMillis());
-    return needsSlot(ask) ? Math.max(reading, turnover.waitMillis(slotsAhead())) : reading;
+    return needsSlot(ask)
+        ? Math.max(reading, turnover.waitMillis(waiting.slotsWanted(slots)))
+        : reading;
   }
 
   /** Adds what waits here to what the engine is still reading. */
   private long readingMillis(long nowMillis) {
-    int tokens = waiting.values().stream().mapToInt(one -> one.ask().promptTokens()).sum();
-    return backlog.millis(nowMillis) + backlog.readingMillis(tokens);
+    return backlog.millis(nowMillis) + backlog.readingMillis(waiting.promptTokens());
   }
 
   private boolean needsSlot(PermitAsk ask) {
     return !ask.adapter().isEmpty()
         && slots.find(ask.adapter()).isEmpty()
         && slots.available() == 0
-        && waiting.values().stream().noneMatch(one -> sameAdapter(one.ask(), ask));
-  }
-
-  private int slotsAhead() {
-    Set<String> absent = new HashSet<>();
-    for (Waiting one : waiting.values()) {
-      if (slots.find(one.ask().adapter()).isEmpty()) {
-        absent.add(one.ask().adapter());
-      }
-    }
-    return absent.size();
-  }
-
-  private static boolean sameAdapter(PermitAsk first, PermitAsk second) {
-    return first.adapter().equals(second.adapter());
+        && !waiting.hasAdapter(ask.adapter());
   }
 
   /**
@@ -198,12 +199,13 @@
    * @return what follows
    */
   public List<DeskCommand> ended(String host, PermitEnd end, long nowMillis) {
-    waiting.remove(key(host, end.ask()));
-    Running run = running.remove(key(host, end.ask()));
-    if (run == null) {
+    String key = WaitingRequest.key(host, end.ask());
+    waiting.remove(key);
+    Optional<RunningRequests.Running> ended = running.remove(key);
+    if (ended.isEmpty()) {
       return decide(nowMillis);
     }
-    runningTokens -= tokens(run.ask());
+    RunningRequests.Running run = ended.get();
     if (end.firstMillis() > 0) {
       backlog.observed(run.readMillis(), end.firstMillis());
     }
@@ -213,6 +215,9 @@
           found.users = Math.max(0, found.users - 1);
           found.usedMillis = nowMillis;
         });
+    if (end.ending() == PermitEnd.Ending.UNREACHABLE) {
+      return unreachable(nowMillis);
+    }
     if (end.ending() == PermitEnd.Ending.ABSENT && run.ask().adapter().isEmpty()) {
       modelPresent = false;
     } else if (end.ending() == PermitEnd.Ending.ABSENT) {
@@ -239,9 +244,9 @@
    * @return what follows
    */
   public List<DeskCommand> hostGone(String host, long nowMillis) {
-    waiting.values().removeIf(one -> one.host().equals(host));
+    waiting.removeHost(host);
     List<DeskCommand> commands = new ArrayList<>();
-    for (Running run : List.copyOf(running.values())) {
+    for (RunningRequests.Running run : running.all()) {
       if (run.host().equals(host)) {
         PermitEnd end = new PermitEnd(run.ask().ask(), PermitEnd.Ending.DONE, 0);
         commands.addAll(ended(host, end, nowMillis));
@@ -294,14 +299,9 @@
       orderModel(commands);
       return commands;
     }
-    List<Waiting> order = new ArrayList<>(waiting.values());
-    order.sort(
-        Comparator.<Waiting>comparingInt(one -> one.canBeOnTime(nowMillis) ? 0 : 1)
-            .thenComparingLong(Waiting::aimAtMillis));
-    Set<String> wanted = new HashSet<>();
-    order.forEach(one -> wanted.add(one.ask().adapter()));
+    Set<String> wanted = waiting.adapters();
     unclaimedSlots = slots.unloading();
-    for (Waiting one : order) {
+    for (WaitingRequest one : waiting.byUrgency(nowMillis)) {
       decide(one, wanted, nowMillis, commands);
     }
     return commands;
@@ -314,7 +314,8 @@
     }
   }
 
-  private void decide(Waiting one, Set<String> wanted, long nowMillis, List<DeskCommand> commands) {
+  private void decide(
+      WaitingRequest one, Set<String> wanted, long nowMillis, List<DeskCommand> commands) {
     PermitAsk ask = one.ask();
     Optional<AdapterSlot> slot = slots.find(ask.adapter());
     if (ask.adapter().isEmpty()) {
@@ -332,21 +333,17 @@
   }
 
   private void grant(
-      Waiting one, Optional<AdapterSlot> slot, long nowMillis, List<DeskCommand> commands) {
-    int tokens = tokens(one.ask());
+      WaitingRequest one, Optional<AdapterSlot> slot, long nowMillis, List<DeskCommand> commands) {
     boolean fits =
-        running.size() < settings.batchSlots()
-            && (running.isEmpty() || runningTokens + tokens <= settings.memoryTokens())
+        running.fits(one.ask(), settings)
             && backlog.takes(one.ask().promptTokens(), settings.backlogMillis(), nowMillis);
     if (!fits) {
       return;
     }
-    String key = key(one.host(), one.ask().ask());
     learn(one, nowMillis);
-    waiting.remove(key);
+    waiting.remove(one.key());
     long readMillis = backlog.add(one.ask().promptTokens(), nowMillis);
-    running.put(key, new Running(one.host(), one.ask(), nowMillis, readMillis));
-    runningTokens += tokens;
+    running.add(new RunningRequests.Running(one.host(), one.ask(), nowMillis, readMillis));
     slot.ifPresent(
         found -> {
           found.users++;
@@ -356,17 +353,17 @@
         new DeskCommand.Answer(
             one.host(),
             new PermitAnswer(one.ask().ask(), true, 0, "resident"),
-            nowMillis - one.arrivedMillis()));
+            one.waitedMillis(nowMillis)));
   }
 
-  private void learn(Waiting one, long nowMillis) {
-    if (one.slotsAhead() != NO_SLOT) {
-      turnover.waited(one.slotsAhead(), nowMillis - one.arrivedMillis());
+  private void learn(WaitingRequest one, long nowMillis) {
+    if (one.waitsForSlot()) {
+      turnover.waited(one.slotsAhead(), one.waitedMillis(nowMillis));
     }
   }
 
   private void makeRoom(
-      Waiting one, Set<String> wanted, long nowMillis, List<DeskCommand> commands) {
+      WaitingRequest one, Set<String> wanted, long nowMillis, List<DeskCommand> commands) {
     if (!ordering || slots.loading() >= settings.maximumLoads()) {
       return;
     }
@@ -379,7 +376,7 @@
       return;
     }
     Optional<AdapterSlot> victim = slots.victim(wanted, demand, nowMillis);
-    if (victim.isEmpty() && nowMillis - one.arrivedMillis() >= closeAfterMillis()) {
+    if (victim.isEmpty() && one.waitedMillis(nowMillis) >= closeAfterMillis()) {
       victim = closeOne(wanted);
     }
     victim.ifPresent(
@@ -392,7 +389,7 @@
   }
 
   private long closeAfterMillis() {
-    return slotsAhead() <= 1 ? CLOSE_AFTER_MILLIS : CLOSE_AFTER_WHEN_SHORT_MILLIS;
+    return waiting.slotsWanted(slots) <= 1 ? CLOSE_AFTER_MILLIS : CLOSE_AFTER_WHEN_SHORT_MILLIS;
   }
 
   /** Closes the adapter whose runs end soonest, until they have ended and it can make way. */
@@ -405,20 +402,12 @@
               .min(
                   Comparator.<AdapterSlot>comparingInt(
                           slot -> wanted.contains(slot.adapter) ? 1 : 0)
-                      .thenComparingLong(this::endMillis));
+                      .thenComparingLong(slot -> running.endMillis(slot.adapter)));
       closed = current.map(slot -> slot.adapter);
     }
     return current.filter(AdapterSlot::isIdle);
   }
 
-  private long endMillis(AdapterSlot slot) {
-    return running.values().stream()
-        .filter(run -> run.ask().adapter().equals(slot.adapter))
-        .mapToLong(Running::endMillis)
-        .max()
-        .orElse(0);
-  }
-
   private void load(PermitAsk ask, String reason, long nowMillis, List<DeskCommand> commands) {
     Optional<AdapterSlot> former = slots.find(ask.adapter());
     AdapterSlot slot =
@@ -431,12 +420,12 @@
   }
 
   private void giveUp(long nowMillis, List<DeskCommand> commands) {
-    for (Waiting one : List.copyOf(waiting.values())) {
-      long waited = nowMillis - one.arrivedMillis();
+    for (WaitingRequest one : waiting.all()) {
+      long waited = one.waitedMillis(nowMillis);
       boolean hopeless = waited + LEAST_RUN_MILLIS >= one.ask().deadlineMillis();
       if (hopeless || waited >= one.ask().aimMillis() * PATIENCE) {
         learn(one, nowMillis);
-        waiting.remove(key(one.host(), one.ask().ask()));
+        waiting.remove(one.key());
         long expected = expectedWaitMillis(one.ask(), nowMillis);
         commands.add(refusal(one.host(), one.ask(), expected, "waited-in-vain", waited));
       }
@@ -459,8 +448,16 @@
    * @return the notice
    */
   public EngineNotice notice(String life, boolean holding, long nowMillis) {
+    if (isUnreachable(nowMillis)) {
+      return new EngineNotice(life, false, List.of(), UNREACHABLE_MILLIS, 0, 0);
+    }
     return new EngineNotice(
-        life, holding, slots.names(), readingMillis(nowMillis), slots.available(), slotsAhead());
+        life,
+        holding,
+        slots.names(),
+        readingMillis(nowMillis),
+        slots.available(),
+        waiting.slotsWanted(slots));
   }
 
   /**
@@ -489,12 +486,4 @@
   public boolean isBusy() {
     return !waiting.isEmpty() || !running.isEmpty();
   }
-
-  private static int tokens(PermitAsk ask) {
-    return ask.promptTokens() + ask.outputTokens();
-  }
-
-  private static String key(String host, long ask) {
-    return host + '#' + ask;
-  }
 }
--- a/core/src/main/java/org/lentilhinge/permit/PermitEnd.java
+++ b/core/src/main/java/org/lentilhinge/permit/PermitEnd.java
@@ -19,6 +19,8 @@
     /** The engine said that the adapter or model is not there. */
     ABSENT,
     /** The engine did not take the request. */
-    REFUSED
+    REFUSED,
+    /** The engine could not be reached. */
+    UNREACHABLE
   }
 }
--- a/core/src/test/java/org/lentilhinge/permit/EngineDeskTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineDeskTest.java
@@ -166,6 +166,21 @@
     assertTrue(orders(commands).isEmpty());
   }
 
+  @Test
+  public void engineThatIsNotReachedGetsNothingUntilItAnswers() {
+    EngineDeskTest fresh = new EngineDeskTest();
+    fresh.fill("a");
+    PermitAsk ask = fresh.ask("a");
+    fresh.desk.ask("h", ask, 0);
+    fresh.desk.ask("h", fresh.ask("b"), 0);
+    PermitEnd end = new PermitEnd(ask.ask(), PermitEnd.Ending.UNREACHABLE, 0);
+    List<PermitAnswer> refused = answers(fresh.desk.ended("h", end, 10));
+    assertEquals(refused.size(), 1);
+    assertFalse(answers(fresh.desk.ask("h", fresh.ask("a"), 20)).get(0).granted());
+    fresh.desk.reachable();
+    assertTrue(answers(fresh.desk.ask("h", fresh.ask("a"), 30)).get(0).granted());
+  }
+
   @Test
   public void lostHostGivesItsPermitsBack() {
     EngineDeskTest fresh = new EngineDeskTest();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -281,6 +281,9 @@
   }
 
   private static PermitEnd.Ending ending(AttemptOutcome outcome, int status) {
+    if (outcome == AttemptOutcome.NOT_SENT) {
+      return PermitEnd.Ending.UNREACHABLE;
+    }
     if (outcome != AttemptOutcome.NOT_EXECUTED) {
       return PermitEnd.Ending.DONE;
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
@@ -119,6 +119,9 @@
   /** Decides what time alone makes due, and takes the engine if it may be taken. */
   void tick() {
     carryOut(desk.decide(context.now()));
+    if (desk.isUnreachable(context.now()) && context.now() - readMillis >= READ_PAUSE_MILLIS) {
+      read("unreachable");
+    }
     int rank = state.ranking(engine).indexOf(context.host());
     if (!hold.isHolding() && rank >= 0) {
       desk.orderingIn(hold.dueInMillis(rank, context.now()));
@@ -140,13 +143,19 @@
             result -> {
               reading = false;
               if (result.succeeded()) {
+                desk.reachable();
                 reported(result.result(), reason);
               } else {
-                context.log().line("report-failed", "engine", engine.id(), "why", reason);
+                unreachable("report-failed");
               }
             });
   }
 
+  private void unreachable(String reason) {
+    context.log().line("engine-unreachable", "engine", engine.id(), "why", reason);
+    carryOut(desk.unreachable(context.now()));
+  }
+
   private void reported(EngineReport report, String reason) {
     long now = context.now();
     boolean held = hold.isHolding();
@@ -298,6 +307,7 @@
       case UNKNOWN -> {
         counted.remove(order);
         hold.unanswered();
+        unreachable("order-unanswered");
         conflict(order);
       }
       default -> settle(order, false);
