--- a/core/src/main/java/org/lentilhinge/permit/EngineDesk.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineDesk.java
@@ -20,8 +20,8 @@
   /** The same while several wait: the slots are short, and used adapters serve most requests. */
   private static final long CLOSE_AFTER_WHEN_SHORT_MILLIS = 600;
 
-  /** Waiting longer than this part of its aim is no use: it comes back, or another engine helps. */
-  private static final double PATIENCE = 1.2;
+  /** After this part of its aim a request cannot be on time any more: it is told to come back. */
+  private static final double PATIENCE = 0.85;
 
   /** The time that a request needs at the engine beyond its wait, before its deadline. */
   private static final long LEAST_RUN_MILLIS = 300;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -48,6 +48,8 @@
   private boolean streaming;
   private boolean over;
   private long firstMillis;
+  private long lastMillis;
+  private long longestPauseMillis;
 
   EndpointAttempt(
       Forwarder forwarder,
@@ -166,7 +168,7 @@
     }
     ByteBuf whole = events.add(part);
     if (whole.isReadable()) {
-      firstMillis = firstMillis == 0 ? tookMillis() : firstMillis;
+      notePause();
       beginStream();
       exchange.write(whole);
     }
@@ -175,6 +177,21 @@
     }
   }
 
+  private void notePause() {
+    long took = tookMillis();
+    if (firstMillis == 0) {
+      firstMillis = took;
+    } else {
+      longestPauseMillis = Math.max(longestPauseMillis, took - lastMillis);
+    }
+    lastMillis = took;
+  }
+
+  /** Gets the longest time between two groups of events, in milliseconds. */
+  long longestPauseMillis() {
+    return longestPauseMillis;
+  }
+
   private void beginStream() {
     if (!exchange.isBegun()) {
       HttpResponse answer = response.orElseThrow();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -256,6 +256,10 @@
         reason,
         "status",
         ended.status(),
+        "firstMs",
+        ended.firstMillis(),
+        "pauseMs",
+        ended.longestPauseMillis(),
         "tookMs",
         ended.tookMillis());
     attempt = Optional.empty();
