--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
@@ -181,6 +181,8 @@
             report.coming().size(),
             "holding",
             hold.isHolding(),
+            "readsPerMs",
+            Math.round(desk.promptTokensPerMilli()),
             "fence",
             hold.fence().orElse(0));
     desk.ordering(hold.isHolding());
