Put back the spreading of prompts over pauses: it serves fewer callers

Conclusion: under load the time to the first event is worth more than the pauses saved. Numbers of asks: a precedence slip made their first number signed; they begin in 31 bits now.

--- a/core/src/main/java/org/lentilhinge/permit/PromptBacklog.java
+++ b/core/src/main/java/org/lentilhinge/permit/PromptBacklog.java
@@ -1,8 +1,5 @@
 package org.lentilhinge.permit;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-
 /**
  * Models how long an engine is still busy reading the prompts that it was given, and learns its
  * speed from the time that first events took.
@@ -24,18 +21,8 @@
   private static final double LEAST_SPEED = 1;
   private static final double GREATEST_SPEED = 1_000;
 
-  /** The longest pause between two events of a stream that is on time, in milliseconds. */
-  private static final long PAUSE_MILLIS = 400;
-
-  /** The part of such a pause that may go into reading; the rest are steps and the network. */
-  private static final double READING_PART = 0.7;
-
-  private final Deque<Read> window = new ArrayDeque<>();
   private double tokensPerMilli;
   private double busyUntilMillis;
-  private int windowTokens;
-
-  private record Read(int tokens, long atMillis) {}
 
   PromptBacklog(double tokensPerMilli) {
     this.tokensPerMilli = tokensPerMilli;
@@ -44,8 +31,6 @@
   /** Adds a prompt; returns the time after which its first event is predicted. */
   long add(int promptTokens, long nowMillis) {
     busyUntilMillis = Math.max(nowMillis, busyUntilMillis) + promptTokens / tokensPerMilli;
-    window.add(new Read(promptTokens, nowMillis));
-    windowTokens += promptTokens;
     return millis(nowMillis);
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -51,6 +51,11 @@
   /** What is left of a planned stop for the end of the process, in milliseconds. */
   private static final long EXIT_MILLIS = 500;
 
+  /** Numbers of asks begin anywhere in 31 bits and leave 20 bits to count within one life. */
+  private static final long NUMBER_MASK = 0x7fffffffL;
+
+  private static final int NUMBER_SHIFT = 20;
+
   private final HostContext context;
   private final Context loop;
   private final HostState state;
@@ -93,7 +98,7 @@
     HttpCaller caller = new HttpCaller(vertx, pool);
     peers = network(scheduler, clocks.wallMillis().getAsLong(), random);
     PeerSender sender = this::send;
-    permits = new PermitClient(sender, random.nextInt() & 0xffffffffL << 20);
+    permits = new PermitClient(sender, (random.nextInt() & NUMBER_MASK) << NUMBER_SHIFT);
     desks = new EngineDesks(context, platform.control(caller), sender, state);
     PublishedStore store = platform.store(caller, settings.storeAddress());
     follower = new StoreFollower(vertx, store, new Published(), random);
