--- a/core/src/main/java/org/lentilhinge/permit/HostDirectory.java
+++ b/core/src/main/java/org/lentilhinge/permit/HostDirectory.java
@@ -36,6 +36,15 @@
     this.seeds = new LinkedHashSet<>(seeds);
   }
 
+  /**
+   * Adds seeds.
+   *
+   * @param names the names of further hosts to link with
+   */
+  public void seeds(Collection<String> names) {
+    seeds.addAll(names);
+  }
+
   /**
    * Takes a beacon.
    *
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -5,11 +5,13 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -143,10 +145,7 @@
     CallerExchange refused =
         new CallerExchange(
             this,
-            head.orElseGet(
-                () ->
-                    new io.netty.handler.codec.http.DefaultHttpRequest(
-                        HttpVersion.HTTP_1_1, io.netty.handler.codec.http.HttpMethod.GET, "/")),
+            head.orElseGet(() -> new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")),
             Unpooled.EMPTY_BUFFER);
     if (current.isEmpty()) {
       current = Optional.of(refused);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerExchange.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerExchange.java
@@ -3,7 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -120,13 +122,13 @@
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
     connection.markClosing(response);
     connection.write(response);
-    connection.write(new io.netty.handler.codec.http.DefaultLastHttpContent(content));
+    connection.write(new DefaultLastHttpContent(content));
     connection.finished();
   }
 
   /** Answers at once with a text of this host's own. */
   void answer(int status, Optional<Long> retryMillis, String text) {
-    HttpHeaders headers = new io.netty.handler.codec.http.DefaultHttpHeaders();
+    HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
     retryMillis.ifPresent(
         millis ->
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineDesks.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineDesks.java
@@ -30,11 +30,15 @@
   /** The speed at which engines of today's users read prompts, in tokens a millisecond. */
   private static final double PROMPT_TOKENS_PER_MILLI = 22;
 
+  /** A process that stood still for longer may have lost its engines, in milliseconds. */
+  private static final long PAUSE_MILLIS = 1_000;
+
   private final HostContext context;
   private final EngineControl control;
   private final PeerSender peers;
   private final HostState state;
   private final Map<String, HeldEngine> desks = new HashMap<>();
+  private long tickedMillis;
 
   EngineDesks(HostContext context, EngineControl control, PeerSender peers, HostState state) {
     this.context = context;
@@ -109,6 +113,12 @@
 
   /** Opens the desks of the engines that this host is the first to hold, and moves all on. */
   void tick() {
+    long now = context.now();
+    if (tickedMillis > 0 && now - tickedMillis > PAUSE_MILLIS) {
+      context.log().line("paused", "ms", now - tickedMillis);
+      desks.values().forEach(HeldEngine::paused);
+    }
+    tickedMillis = now;
     for (FleetEndpoint engine : state.endpoints().all()) {
       boolean mine =
           state.endpoints().isUsable(engine)
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -10,7 +10,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.lentilhinge.fleet.FleetChange;
 import org.lentilhinge.forward.ForwardConfiguration;
@@ -126,7 +129,7 @@
             HostNames.ofAddress(address),
             port,
             settings.peerSecret().getBytes(StandardCharsets.UTF_8),
-            java.util.Optional.empty(),
+            Optional.empty(),
             FRAME_BYTES,
             PeerSettings.DEFAULT_MAXIMUM_QUEUED_FRAMES,
             PeerTimings.DEFAULT);
@@ -142,7 +145,7 @@
     return network;
   }
 
-  private HttpFront front(String address, java.util.function.Consumer<CallerExchange> handler) {
+  private HttpFront front(String address, Consumer<CallerExchange> handler) {
     return new HttpFront(
         context.vertx(),
         address,
@@ -161,15 +164,13 @@
     String address = HostNames.ofAddress(settings.readyAddress()) + ':' + settings.metricsPort();
     return List.of(
         ready,
-        front(
-            address,
-            exchange -> exchange.answer(200, java.util.Optional.empty(), exposition.render())));
+        front(address, exchange -> exchange.answer(200, Optional.empty(), exposition.render())));
   }
 
   private void answerReady(CallerExchange exchange) {
     boolean asked = exchange.request().uri().startsWith(context.settings().readyPath());
     int status = isReady() ? 200 : 503;
-    exchange.answer(asked ? status : 404, java.util.Optional.empty(), asked ? "ready" : "no page");
+    exchange.answer(asked ? status : 404, Optional.empty(), asked ? "ready" : "no page");
   }
 
   private boolean isReady() {
@@ -298,6 +299,20 @@
     operations.forEach(HttpFront::expire);
   }
 
+  /**
+   * Takes settings that have changed. Seeds take effect; all else does at the next start.
+   *
+   * @param settings the settings as they are now
+   */
+  public void reload(ForwardSettings settings) {
+    loop.runOnContext(
+        nothing -> {
+          context.log().line("reload", "seeds", String.join(",", settings.seeds()));
+          state.hosts().seeds(settings.seeds().stream().map(HostNames::ofAddress).toList());
+          namePeers();
+        });
+  }
+
   /**
    * Stops as planned: not ready at once, idle connections closed when the balancer sends nothing
    * more, and the end when the last request is answered or the time is over.
@@ -423,7 +438,7 @@
    * @return the counters by name
    */
   public Map<String, Long> counters() {
-    Map<String, Long> counters = new java.util.TreeMap<>();
+    Map<String, Long> counters = new TreeMap<>();
     context
         .metrics()
         .getCounters()
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
@@ -116,6 +116,16 @@
     orders.clear();
   }
 
+  /** Gives the engine up after a pause of this process: another host may have taken it. */
+  void paused() {
+    if (hold.isHolding()) {
+      context.log().line("hold-lost", "engine", engine.id(), "to", "own-pause");
+    }
+    hold.stepBack(context.now());
+    desk.ordering(false);
+    orders.clear();
+  }
+
   /** Decides what time alone makes due, and takes the engine if it may be taken. */
   void tick() {
     carryOut(desk.decide(context.now()));
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.lentilhinge.fleet.EndpointRegistry;
@@ -28,7 +29,7 @@
   private final Map<String, RetryShare> retries = new HashMap<>();
   private final Map<String, Long> versions = new HashMap<>();
   private Optional<ForwardConfiguration> configuration = Optional.empty();
-  private RouteTable routes = new RouteTable(java.util.List.of());
+  private RouteTable routes = new RouteTable(List.of());
   private long revision;
   private boolean leaving;
 
@@ -133,7 +134,7 @@
   }
 
   /** Ranks the hosts that may hold an engine. */
-  java.util.List<String> ranking(FleetEndpoint engine) {
+  List<String> ranking(FleetEndpoint engine) {
     return HolderRanking.rank(
         engine.id(), engine.zone(), distances.regionOf(engine.zone()), hosts.candidates(leaving));
   }
--- a/tools/src/main/java/org/lentilhinge/tools/CheckTool.java
+++ b/tools/src/main/java/org/lentilhinge/tools/CheckTool.java
@@ -9,8 +9,8 @@
 import org.lentilhinge.configuration.EntryText;
 import org.lentilhinge.finding.Findings;
 import org.lentilhinge.finding.Severity;
+import org.lentilhinge.runtime.forward.ForwardSettingsReader;
 import org.lentilhinge.runtime.ini.IniReader;
-import org.lentilhinge.runtime.settings.Settings;
 import org.lentilhinge.runtime.settings.SettingsReader;
 
 /** Checks a configuration or settings file and lists all findings. */
@@ -63,7 +63,10 @@
   }
 
   private Findings checkSettings(String file, String text) {
-    Either<Findings, Settings> result = new SettingsReader(reader).read(file, text);
+    Either<Findings, ?> result =
+        ForwardSettingsReader.isForwarding(text)
+            ? new ForwardSettingsReader(reader).read(file, text)
+            : new SettingsReader(reader).read(file, text);
     return result.isLeft() ? result.getLeft() : Findings.NONE;
   }
 
--- a/tools/src/main/java/org/lentilhinge/tools/ForwardService.java
+++ b/tools/src/main/java/org/lentilhinge/tools/ForwardService.java
@@ -7,6 +7,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.rxjava3.ContextScheduler;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -38,12 +41,12 @@
       return ExitCode.REFUSED;
     }
     signal.arm();
-    int exitCode = serve(settings.get());
+    int exitCode = serve(file, settings.get());
     signal.finish(exitCode);
     return exitCode;
   }
 
-  private int serve(ForwardSettings settings) {
+  private int serve(String file, ForwardSettings settings) {
     VertxOptions options = new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1);
     Vertx vertx = Vertx.vertx(options);
     try {
@@ -51,6 +54,7 @@
       Context loop = vertx.getOrCreateContext();
       loop.runOnContext(nothing -> start(vertx, loop, settings, started));
       ForwardHost host = started.join();
+      HangupSignal.handle(() -> reload(file, host));
       signal.await();
       host.stop().toCompletionStage().toCompletableFuture().join();
       return ExitCode.DONE;
@@ -60,6 +64,17 @@
     }
   }
 
+  private void reload(String file, ForwardHost host) {
+    try {
+      Either<Findings, ForwardSettings> settings =
+          new ForwardSettingsReader(new IniReader()).read(file, Files.readString(Path.of(file)));
+      settings.peek(host::reload);
+      settings.peekLeft(findings -> console.err().println(findings));
+    } catch (IOException exception) {
+      console.err().println("lentilhinge serve: cannot reload: " + exception.getMessage());
+    }
+  }
+
   private void start(
       Vertx vertx, Context loop, ForwardSettings settings, CompletableFuture<ForwardHost> started) {
     try {
