--- /dev/null
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardSettingsReaderTest.java
@@ -0,0 +1,71 @@
+package org.lentilhinge.runtime.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.lentilhinge.finding.Findings;
+import org.lentilhinge.runtime.ini.IniReader;
+import org.testng.annotations.Test;
+
+/** Tests the settings of the forwarding path. */
+public class ForwardSettingsReaderTest {
+
+  private static final String SOUND =
+      """
+      [host]
+      name = 10.1.0.38
+      zone = a
+      region = north
+      [zones]
+      a = north
+      b = south
+      [callers]
+      listen = 10.1.0.38:8149
+      [ready]
+      listen = 10.1.0.38:8141
+      path = /ready
+      [peer]
+      address = 10.1.0.38:8144
+      secret = shared
+      seeds = 10.1.0.38:8144,10.2.0.40:8144
+      [store]
+      address = 10.200.1.7:8142
+      [bounds]
+      stop = 8 s
+      lease = 3000 ms
+      retry-ratio = 0.2
+      retry-extra = 56
+      retry-window = 10 s
+      """;
+
+  private final ForwardSettingsReader reader = new ForwardSettingsReader(new IniReader());
+
+  @Test
+  public void readsAllSettings() {
+    ForwardSettings settings = reader.read("s.ini", SOUND).get();
+    assertEquals(settings.seeds(), List.of("10.1.0.38:8144", "10.2.0.40:8144"));
+    assertEquals(settings.zoneRegions().get("b"), "south");
+    assertEquals(settings.bounds(), new ForwardSettings.Bounds(8_000, 3_000, 0.2, 56, 10_000));
+    assertEquals(settings.metricsPort(), 0);
+  }
+
+  @Test
+  public void listsAllFindingsWithTheirPlaces() {
+    String faulty =
+        SOUND.replace("10.200.1.7:8142", "the-store").replace("secret = shared\n", "")
+            + "[extra]\nkey = 1\n";
+    Findings findings = reader.read("s.ini", faulty).getLeft();
+    String text = findings.toString();
+    assertTrue(text.contains("store"), text);
+    assertTrue(text.contains("secret"), text);
+    assertTrue(text.contains("extra"), text);
+  }
+
+  @Test
+  public void tellsSettingsOfBothInterfacesApart() {
+    assertTrue(ForwardSettingsReader.isForwarding(SOUND));
+    assertFalse(ForwardSettingsReader.isForwarding("[host]\nname = entry-1\n[gateway]\n"));
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreFollowerTest.java
@@ -0,0 +1,132 @@
+package org.lentilhinge.runtime.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.lentilhinge.forward.ForwardConfiguration;
+import org.lentilhinge.forward.ForwardLimits;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Tests that declarations are kept up with over lost answers and a lost history. */
+public class StoreFollowerTest {
+
+  private static final long WAIT_SECONDS = 10;
+
+  private Vertx vertx;
+
+  @BeforeClass
+  public void start() {
+    vertx = Vertx.vertx();
+  }
+
+  @AfterClass
+  public void stop() {
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  private static Declared declared(long version, long revision) {
+    ForwardConfiguration configuration =
+        new ForwardConfiguration(version, List.of(), Map.of(), ForwardLimits.DEFAULT);
+    return new Declared(Optional.of(configuration), List.of(), revision);
+  }
+
+  /** A store that answers by a script and keeps what it was asked; then it never answers again. */
+  private static final class ScriptedStore implements PublishedStore {
+
+    private final Queue<Future<Declared>> answers = new ArrayDeque<>();
+    private final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
+
+    private Future<Declared> answer(String question) {
+      asked.add(question);
+      return answers.isEmpty() ? Future.future(promise -> {}) : answers.remove();
+    }
+
+    @Override
+    public Future<EndpointListing> endpoints() {
+      return Future.future(promise -> {});
+    }
+
+    @Override
+    public Future<Declared> declared() {
+      return answer("whole");
+    }
+
+    @Override
+    public Future<Declared> declaredSince(long revision, long waitMillis) {
+      return answer("since " + revision);
+    }
+  }
+
+  /** Keeps the versions that are heard of. */
+  private static final class Heard implements StoreListener {
+
+    private final BlockingQueue<Long> versions = new LinkedBlockingQueue<>();
+
+    @Override
+    public void listed(EndpointListing listing) {
+      throw new AssertionError("no listing was answered");
+    }
+
+    @Override
+    public void declared(Declared declared) {
+      declared.configuration().ifPresent(found -> versions.add(found.version()));
+    }
+
+    @Override
+    public void failed(String reading, String cause) {
+      assertEquals(reading, "declarations");
+    }
+  }
+
+  private Heard follow(ScriptedStore store) {
+    Heard heard = new Heard();
+    vertx.runOnContext(nothing -> new StoreFollower(vertx, store, heard, new Random(1)).start());
+    return heard;
+  }
+
+  private static String next(ScriptedStore store) throws InterruptedException {
+    return store.asked.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  @Test
+  public void awaitsChangesFromTheRevisionThatWasRead() throws InterruptedException {
+    ScriptedStore store = new ScriptedStore();
+    store.answers.add(Future.succeededFuture(declared(3, 40)));
+    store.answers.add(Future.succeededFuture(declared(7, 55)));
+    Heard heard = follow(store);
+    assertEquals(next(store), "whole");
+    assertEquals(next(store), "since 40");
+    assertEquals(next(store), "since 55");
+    assertEquals(heard.versions.poll(WAIT_SECONDS, TimeUnit.SECONDS), Long.valueOf(3));
+    assertEquals(heard.versions.poll(WAIT_SECONDS, TimeUnit.SECONDS), Long.valueOf(7));
+  }
+
+  @Test
+  public void readsTheWholeAgainAfterLostHistoryAndLostAnswers() throws InterruptedException {
+    ScriptedStore store = new ScriptedStore();
+    store.answers.add(Future.succeededFuture(declared(3, 40)));
+    store.answers.add(Future.failedFuture(new HistoryLostException(40)));
+    store.answers.add(Future.failedFuture("no answer in time"));
+    store.answers.add(Future.succeededFuture(declared(9, 80)));
+    Heard heard = follow(store);
+    assertEquals(next(store), "whole");
+    assertEquals(next(store), "since 40");
+    assertEquals(next(store), "whole");
+    assertEquals(next(store), "whole");
+    assertEquals(next(store), "since 80");
+    assertTrue(heard.versions.contains(9L));
+  }
+}
