--- a/tools/src/test/java/org/lentilhinge/tools/PagesTest.java
+++ b/tools/src/test/java/org/lentilhinge/tools/PagesTest.java
@@ -62,7 +62,7 @@
     Set<String> named =
         matches(Pattern.compile("`([A-Z][A-Za-z]+Test)`"), page("docs/GUARANTEES.md"));
     Set<String> existing = new TreeSet<>();
-    for (String module : List.of("core", "runtime", "emulator", "tools")) {
+    for (String module : List.of("core", "runtime", "platform", "emulator", "tools")) {
       try (var files = Files.walk(ROOT.resolve(module).resolve("src/test/java"))) {
         files
             .map(file -> file.getFileName().toString())
