Let requests after a restart wait for the first reading and the first report

Cause: after all hosts were killed, the first 222 asks of a second were refused as "no-holder" although a third of them named adapters that the engines held. A desk that had just been opened did not know what its engine held (its first report was on the way, 5 to 40 ms) and refused at once, with 100 ms as the time to come back, so that the caller's only repetition was spent before the first adapter could be loaded. Requests that came before the first reading of the store (0.3 s after the start line) were refused too.

Change: asks wait for an engine's first report; a refusal for want of a holder names the time when there may be one; requests wait for the first reading of the store for at most 0.5 s after the start (then 503); a request that waits when the hold is lost is refused at once instead of at the end of its patience. The closing of adapters is a class of its own (ClosedAdapter). Also: a build of the class-data archive whose process has ended fails nothing.

Ruled out: the lease alone (resident adapters need no order).

--- a/core/src/main/java/org/lentilhinge/permit/EngineDesk.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineDesk.java
@@ -1,7 +1,6 @@
 package org.lentilhinge.permit;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,6 +34,7 @@
   private static final long FIRST_EVENT_MILLIS = 60;
 
   private static final String UNREACHABLE = "engine-unreachable";
+  private static final String NO_HOLDER = "no-holder";
 
   private final DeskSettings settings;
   private final String model;
@@ -44,8 +44,9 @@
   private final SlotTurnover turnover = new SlotTurnover();
   private final RequestQueue waiting = new RequestQueue();
   private final RunningRequests running = new RunningRequests();
-  private Optional<String> closed = Optional.empty();
+  private final ClosedAdapter closed = new ClosedAdapter();
   private long unreachableUntilMillis;
+  private boolean unread;
   private boolean modelPresent;
   private boolean modelOrdered;
   private boolean ordering;
@@ -71,6 +72,11 @@
     this.backlog = new PromptBacklog(promptTokensPerMilli);
   }
 
+  /** Lets all asks wait for the engine's first report: what it holds is not known before. */
+  public void awaitReport() {
+    unread = true;
+  }
+
   /**
    * Takes what the engine says that it holds. Adapters that it does not name are gone, unless they
    * are on their way.
@@ -82,6 +88,7 @@
    */
   public void reported(
       boolean holdsModel, Map<String, Long> adapters, Map<String, Long> coming, long nowMillis) {
+    unread = false;
     modelPresent = holdsModel;
     slots.clear();
     adapters.forEach(
@@ -119,11 +126,11 @@
    * @return refusals for all that wait
    */
   public List<DeskCommand> unreachable(long nowMillis) {
+    unread = false;
     unreachableUntilMillis = nowMillis + UNREACHABLE_MILLIS;
     List<DeskCommand> commands = new ArrayList<>();
     for (WaitingRequest one : waiting.all()) {
-      long waited = one.waitedMillis(nowMillis);
-      commands.add(refusal(one.host(), one.ask(), UNREACHABLE_MILLIS, UNREACHABLE, waited));
+      commands.add(refusal(one, UNREACHABLE_MILLIS, UNREACHABLE, nowMillis));
     }
     waiting.clear();
     return commands;
@@ -157,9 +164,8 @@
     if (isUnreachable(nowMillis)) {
       return List.of(refusal(host, ask, UNREACHABLE_MILLIS, UNREACHABLE, 0));
     }
-    boolean there = ask.adapter().isEmpty() || slots.find(ask.adapter()).isPresent();
-    if (!ordering && !(there && modelPresent)) {
-      return List.of(refusal(host, ask, orderingInMillis, "no-holder", 0));
+    if (!unread && lacksHolder(ask)) {
+      return List.of(refusal(host, ask, orderingInMillis, NO_HOLDER, 0));
     }
     long expected = expectedWaitMillis(ask, nowMillis);
     long first = expected + backlog.readingMillis(ask.promptTokens()) + FIRST_EVENT_MILLIS;
@@ -171,6 +177,12 @@
     return decide(nowMillis);
   }
 
+  /** Tells whether a request needs an order that nobody may give now. */
+  private boolean lacksHolder(PermitAsk ask) {
+    boolean there = ask.adapter().isEmpty() || slots.find(ask.adapter()).isPresent();
+    return !ordering && !(there && modelPresent);
+  }
+
   private long expectedWaitMillis(PermitAsk ask, long nowMillis) {
     long reading = Math.max(0, readingMillis(nowMillis) - settings.backlogMillis());
     return needsSlot(ask)
@@ -295,6 +307,9 @@
   public List<DeskCommand> decide(long nowMillis) {
     List<DeskCommand> commands = new ArrayList<>();
     giveUp(nowMillis, commands);
+    if (unread) {
+      return commands;
+    }
     if (!modelPresent) {
       orderModel(commands);
       return commands;
@@ -325,8 +340,7 @@
     } else if (slot.get().state == AdapterSlot.State.RESIDENT) {
       if (ordering && slot.get().version < ask.version()) {
         load(ask, "version-announced", nowMillis, commands);
-      } else if (slot.get().version >= ask.version()
-          && !closed.equals(Optional.of(ask.adapter()))) {
+      } else if (slot.get().version >= ask.version() && !closed.is(ask.adapter())) {
         grant(one, slot, nowMillis, commands);
       }
     }
@@ -377,12 +391,12 @@
     }
     Optional<AdapterSlot> victim = slots.victim(wanted, demand, nowMillis);
     if (victim.isEmpty() && one.waitedMillis(nowMillis) >= closeAfterMillis()) {
-      victim = closeOne(wanted);
+      victim = closed.closeOne(slots, wanted, running);
     }
     victim.ifPresent(
         slot -> {
           slot.state = AdapterSlot.State.UNLOADING;
-          closed = closed.filter(name -> !name.equals(slot.adapter));
+          closed.open(slot.adapter);
           AdapterOrder order = new AdapterOrder(false, model, slot.adapter, 0);
           commands.add(new DeskCommand.Order(order, "for:" + one.ask().adapter()));
         });
@@ -392,22 +406,6 @@
     return waiting.slotsWanted(slots) <= 1 ? CLOSE_AFTER_MILLIS : CLOSE_AFTER_WHEN_SHORT_MILLIS;
   }
 
-  /** Closes the adapter whose runs end soonest, until they have ended and it can make way. */
-  private Optional<AdapterSlot> closeOne(Set<String> wanted) {
-    Optional<AdapterSlot> current = closed.flatMap(slots::find);
-    if (current.isEmpty()) {
-      current =
-          slots.all().stream()
-              .filter(slot -> slot.state == AdapterSlot.State.RESIDENT)
-              .min(
-                  Comparator.<AdapterSlot>comparingInt(
-                          slot -> wanted.contains(slot.adapter) ? 1 : 0)
-                      .thenComparingLong(slot -> running.endMillis(slot.adapter)));
-      closed = current.map(slot -> slot.adapter);
-    }
-    return current.filter(AdapterSlot::isIdle);
-  }
-
   private void load(PermitAsk ask, String reason, long nowMillis, List<DeskCommand> commands) {
     Optional<AdapterSlot> former = slots.find(ask.adapter());
     AdapterSlot slot =
@@ -421,17 +419,29 @@
 
   private void giveUp(long nowMillis, List<DeskCommand> commands) {
     for (WaitingRequest one : waiting.all()) {
-      long waited = one.waitedMillis(nowMillis);
-      boolean hopeless = waited + LEAST_RUN_MILLIS >= one.ask().deadlineMillis();
-      if (hopeless || waited >= one.ask().aimMillis() * PATIENCE) {
+      if (!unread && lacksHolder(one.ask())) {
+        waiting.remove(one.key());
+        commands.add(refusal(one, orderingInMillis, NO_HOLDER, nowMillis));
+      } else if (waitsInVain(one, nowMillis)) {
         learn(one, nowMillis);
         waiting.remove(one.key());
         long expected = expectedWaitMillis(one.ask(), nowMillis);
-        commands.add(refusal(one.host(), one.ask(), expected, "waited-in-vain", waited));
+        commands.add(refusal(one, expected, "waited-in-vain", nowMillis));
       }
     }
   }
 
+  private static boolean waitsInVain(WaitingRequest one, long nowMillis) {
+    long waited = one.waitedMillis(nowMillis);
+    return waited + LEAST_RUN_MILLIS >= one.ask().deadlineMillis()
+        || waited >= one.ask().aimMillis() * PATIENCE;
+  }
+
+  private static DeskCommand refusal(
+      WaitingRequest one, long expectedMillis, String reason, long nowMillis) {
+    return refusal(one.host(), one.ask(), expectedMillis, reason, one.waitedMillis(nowMillis));
+  }
+
   private static DeskCommand refusal(
       String host, PermitAsk ask, long expectedMillis, String reason, long waitedMillis) {
     long retry = Math.max(LEAST_RETRY_MILLIS, expectedMillis);
--- a/core/src/test/java/org/lentilhinge/permit/EngineDeskTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineDeskTest.java
@@ -257,4 +257,28 @@
       engine.take(orders(commands), seed);
     }
   }
+
+  @Test
+  public void residentAdapterIsServedBeforeAnyHostHoldsTheEngine() {
+    EngineDesk restarted = new EngineDesk(SETTINGS, "m", true, 22);
+    restarted.awaitReport();
+    restarted.orderingIn(3_400);
+    assertTrue(restarted.ask("h", ask("a"), 0).isEmpty());
+    assertTrue(restarted.ask("h", ask("b"), 0).isEmpty());
+    restarted.reported(true, Map.of("a", 0L), Map.of(), 30);
+    List<PermitAnswer> answers = answers(restarted.decide(30));
+    assertEquals(answers.stream().filter(PermitAnswer::granted).count(), 1);
+    PermitAnswer refused = answers.stream().filter(one -> !one.granted()).findFirst().orElseThrow();
+    assertEquals(refused.reason(), "no-holder");
+    assertEquals(refused.retryMillis(), 3_400);
+  }
+
+  @Test
+  public void waitingRequestIsRefusedAtOnceWhenTheHoldIsLost() {
+    EngineDeskTest fresh = new EngineDeskTest();
+    assertTrue(answers(fresh.desk.ask("h", fresh.ask("a"), 0)).isEmpty());
+    fresh.desk.reported(true, Map.of(), Map.of(), 10);
+    fresh.desk.ordering(false);
+    assertEquals(answers(fresh.desk.decide(20)).get(0).reason(), "no-holder");
+  }
 }
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,5 +9,5 @@
   -jar target/lentilhinge.jar serve --settings deploy/archive.ini > /dev/null 2>&1 &
 archived=$!
 sleep 2
-kill -TERM "$archived"
+kill -TERM "$archived" 2> /dev/null || true
 wait "$archived" || true
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -67,6 +67,7 @@
   private final EngineDesks desks;
   private final EndpointPool pool;
   private final StoreFollower follower;
+  private final Forwarder forwarder;
   private final HttpFront front;
   private final List<HttpFront> operations;
   private final Promise<Void> stopped = Promise.promise();
@@ -105,7 +106,7 @@
     desks = new EngineDesks(context, platform.control(caller), sender, state);
     PublishedStore store = platform.store(caller, settings.storeAddress());
     follower = new StoreFollower(vertx, store, new Published(), random);
-    Forwarder forwarder = new Forwarder(context, state, platform.dialect(), pool, permits);
+    forwarder = new Forwarder(context, state, platform.dialect(), pool, permits);
     front = front(settings.callerAddress(), forwarder::take);
     operations = operations(settings);
   }
@@ -174,9 +175,7 @@
   }
 
   private boolean isReady() {
-    return !state.isLeaving()
-        && state.configuration().isPresent()
-        && state.endpoints().ageMillis(context.now()).isPresent();
+    return !state.isLeaving() && state.isInformed();
   }
 
   /**
@@ -205,6 +204,7 @@
             });
     namePeers();
     follower.start();
+    context.vertx().setTimer(EarlyRequests.WAIT_MILLIS, id -> forwarder.releaseEarly());
     context.vertx().setPeriodic(TICK_MILLIS, id -> tick());
     context.vertx().setPeriodic(ANNOUNCE_MILLIS, id -> announce());
     context
@@ -349,6 +349,12 @@
     }
   }
 
+  private void releaseEarly() {
+    if (state.isInformed()) {
+      forwarder.releaseEarly();
+    }
+  }
+
   /** Takes what the store has published. */
   private final class Published implements StoreListener {
 
@@ -364,6 +370,7 @@
       for (FleetChange change : state.endpoints().observe(listing.endpoints(), context.now())) {
         changed(change);
       }
+      releaseEarly();
     }
 
     private void changed(FleetChange change) {
@@ -406,6 +413,7 @@
                   release.version());
         }
       }
+      releaseEarly();
     }
 
     private void configured(ForwardConfiguration configuration) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -61,7 +61,8 @@
       CallerExchange exchange,
       CallerHead head,
       ForwardRoute route,
-      String service) {
+      String service,
+      long arrivedMillis) {
     this.forwarder = forwarder;
     this.context = forwarder.context();
     this.state = forwarder.state();
@@ -71,7 +72,7 @@
     this.service = service;
     this.progress = new RequestProgress(route);
     this.resumeAfter = head.resumeAfter();
-    arrivedMillis = context.now();
+    this.arrivedMillis = arrivedMillis;
     endMillis =
         arrivedMillis
             + Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(route.timeoutMillis()));
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -19,6 +19,7 @@
   private final ForwardDialect dialect;
   private final EndpointPool pool;
   private final PermitClient permits;
+  private final EarlyRequests early;
 
   Forwarder(
       HostContext context,
@@ -31,6 +32,7 @@
     this.dialect = dialect;
     this.pool = pool;
     this.permits = permits;
+    this.early = new EarlyRequests(context.now());
   }
 
   HostContext context() {
@@ -57,8 +59,21 @@
     context.metrics().counter(MetricRegistry.name("forward", name)).inc();
   }
 
+  /** Takes a whole request; one that comes before the first reading of the store waits for it. */
   void take(CallerExchange exchange) {
     count("requests");
+    long now = context.now();
+    if (state.isInformed() || !early.keep(() -> forward(exchange, now), now)) {
+      forward(exchange, now);
+    }
+  }
+
+  /** Goes on with the requests that waited for the first reading, or have waited long enough. */
+  void releaseEarly() {
+    early.release();
+  }
+
+  private void forward(CallerExchange exchange, long arrivedMillis) {
     HttpRequest request = exchange.request();
     CallerHead head = dialect.callerHead(request.headers());
     Optional<ForwardConfiguration> configuration = state.configuration();
@@ -74,7 +89,7 @@
     }
     String service = route.get().service(RendezvousHash.hash(head.requestId().orElse("")));
     state.retries(service).requested();
-    new ForwardedRequest(this, exchange, head, route.get(), service).start();
+    new ForwardedRequest(this, exchange, head, route.get(), service, arrivedMillis).start();
   }
 
   private void refuse(
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
@@ -43,6 +43,9 @@
   /** An order that is not done after this time has failed, in milliseconds. */
   private static final long ORDER_MILLIS = 10_000;
 
+  /** Why the first report of an engine is read. */
+  private static final String OPENED = "opened";
+
   private final HostContext context;
   private final EngineControl control;
   private final PeerSender peers;
@@ -75,7 +78,8 @@
     this.hold =
         new EngineHold(
             context.settings().bounds().leaseMillis(), RendezvousHash.hash(context.host()));
-    read("opened");
+    desk.awaitReport();
+    read(OPENED);
   }
 
   FleetEndpoint engine() {
@@ -196,7 +200,10 @@
             "fence",
             hold.fence().orElse(0));
     desk.ordering(hold.isHolding());
-    if (taken) {
+    if (rank >= 0) {
+      desk.orderingIn(hold.dueInMillis(rank, now));
+    }
+    if (taken || reason.equals(OPENED)) {
       peersHear();
     }
     carryOut(desk.decide(now));
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -66,6 +66,11 @@
     return configuration;
   }
 
+  /** Tells whether this host has read the configuration and the endpoints since its start. */
+  boolean isInformed() {
+    return configuration.isPresent() && endpoints.ageMillis(context.now()).isPresent();
+  }
+
   RouteTable routes() {
     return routes;
   }
--- /dev/null
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/EarlyRequestsTest.java
@@ -0,0 +1,53 @@
+package org.lentilhinge.runtime.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+/** Tests requests that come before a host's first reading of the store, as after a restart. */
+public class EarlyRequestsTest {
+
+  private final Vertx vertx = Vertx.vertx();
+
+  /** Ends the event loops. */
+  @AfterClass
+  public void close() {
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  @Test
+  public void requestBeforeTheFirstReadingIsServedAfterIt() throws IOException {
+    ScriptedEndpoint endpoint =
+        new ScriptedEndpoint(
+            vertx, (socket, request) -> socket.write(ForwardFixture.answer("i", "served")));
+    try (ForwardFixture fixture = new ForwardFixture(vertx)) {
+      fixture.informAfterNextRequest(List.of(endpoint.address()));
+      String answer = fixture.send(ForwardFixture.request("POST", "/unsafe/x", "i", "body"));
+      assertTrue(answer.endsWith("served"), answer);
+    }
+  }
+
+  @Test
+  public void waitIsBoundedInTimeAndNumber() {
+    EarlyRequests early = new EarlyRequests(1_000);
+    List<String> forwarded = new ArrayList<>();
+    assertTrue(early.keep(() -> forwarded.add("one"), 1_000));
+    assertTrue(early.keep(() -> forwarded.add("two"), 1_100));
+    assertFalse(early.keep(() -> forwarded.add("late"), 1_000 + EarlyRequests.WAIT_MILLIS));
+    early.release();
+    early.release();
+    assertEquals(forwarded, List.of("one", "two"));
+    int kept = 0;
+    while (early.keep(() -> {}, 1_200)) {
+      kept++;
+    }
+    assertEquals(kept, 256);
+  }
+}
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -31,15 +31,36 @@
   private final Context loop;
   private final HttpFront front;
   private final int port;
+  private final HostContext context;
+  private final HostState state;
+  private final Forwarder forwarder;
+  private volatile Optional<Runnable> afterNext = Optional.empty();
 
   ForwardFixture(Vertx vertx, List<String> endpoints) {
+    this(vertx);
+    inform(endpoints);
+  }
+
+  /** Starts a host that knows no configuration and no endpoint yet. */
+  ForwardFixture(Vertx vertx) {
     this.vertx = vertx;
+    context =
+        new HostContext(
+            vertx,
+            settings(),
+            () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+            new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
+            new MetricRegistry());
+    state = new HostState(context);
+    EndpointPool pool = new EndpointPool(vertx, 1_000, context.clock());
+    PermitClient permits = new PermitClient((host, message) -> {}, 0);
+    forwarder = new Forwarder(context, state, new PlainDialect(), pool, permits);
     CompletableFuture<HttpFront> made = new CompletableFuture<>();
     loop = vertx.getOrCreateContext();
     CompletableFuture<Integer> listening = new CompletableFuture<>();
     loop.runOnContext(
         nothing -> {
-          HttpFront built = front(endpoints);
+          HttpFront built = front();
           made.complete(built);
           built.listen().onSuccess(listening::complete).onFailure(listening::completeExceptionally);
         });
@@ -47,16 +68,39 @@
     port = listening.join();
   }
 
-  private HttpFront front(List<String> addresses) {
-    HostContext context =
-        new HostContext(
-            vertx,
-            settings(),
-            () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
-            new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
-            new MetricRegistry());
-    HostState state = new HostState(context);
+  private HttpFront front() {
+    return new HttpFront(
+        vertx, "127.0.0.1:0", state::limits, context.clock(), this::take, (code, why) -> {});
+  }
+
+  private void take(CallerExchange exchange) {
+    forwarder.take(exchange);
+    afterNext.ifPresent(Runnable::run);
+    afterNext = Optional.empty();
+  }
+
+  private void inform(List<String> addresses) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    loop.runOnContext(
+        nothing -> {
+          firstReading(addresses);
+          done.complete(null);
+        });
+    done.join();
+  }
+
+  /** Makes the first reading of the store known after the next request has come. */
+  void informAfterNextRequest(List<String> addresses) {
+    afterNext = Optional.of(() -> firstReading(addresses));
+  }
+
+  private void firstReading(List<String> addresses) {
     state.configure(configuration());
+    state.endpoints().observe(endpoints(addresses), context.now());
+    forwarder.releaseEarly();
+  }
+
+  private static List<FleetEndpoint> endpoints(List<String> addresses) {
     List<FleetEndpoint> endpoints = new ArrayList<>();
     for (String address : addresses) {
       // Earlier endpoints are nearer, so that they are tried first.
@@ -65,12 +109,7 @@
           new FleetEndpoint(
               "e" + endpoints.size(), 1, "s", address, zone, EndpointState.READY, 0, 1, List.of()));
     }
-    state.endpoints().observe(endpoints, context.now());
-    EndpointPool pool = new EndpointPool(vertx, 1_000, context.clock());
-    PermitClient permits = new PermitClient((host, message) -> {}, 0);
-    Forwarder forwarder = new Forwarder(context, state, new PlainDialect(), pool, permits);
-    return new HttpFront(
-        vertx, "127.0.0.1:0", state::limits, context.clock(), forwarder::take, (code, why) -> {});
+    return endpoints;
   }
 
   private static ForwardSettings settings() {
