Give each adapter one home over all regions, and a second for what overflows

Change: an adapter's home and second home are the first two engines in rendezvous over all regions; a load costs 100 ms at home, 400 at the second, 800 elsewhere. The far region's way (120 ms) stays in the balance.

--- a/core/src/main/java/org/lentilhinge/forward/ZoneDistances.java
+++ b/core/src/main/java/org/lentilhinge/forward/ZoneDistances.java
@@ -41,16 +41,6 @@
     return regionOf(other).equals(region) ? OTHER_ZONE_MILLIS : OTHER_REGION_MILLIS;
   }
 
-  /**
-   * Tells whether a zone lies in another region.
-   *
-   * @param other the zone
-   * @return whether the link between regions lies between
-   */
-  public boolean isOtherRegion(String other) {
-    return !regionOf(other).equals(region);
-  }
-
   /**
    * Finds the region of a zone.
    *
--- a/core/src/main/java/org/lentilhinge/permit/EngineBoard.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineBoard.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -13,7 +14,8 @@
 
 /**
  * Chooses the engine for a request from the notices of all holders: the one that will send the
- * first event soonest, where each adapter has a home among the engines near this host.
+ * first event soonest. Each adapter has a home and a second home among the engines of all regions,
+ * the same for all hosts: fetching an adapter once more costs more than the way to another region.
  */
 public final class EngineBoard {
 
@@ -21,10 +23,16 @@
   private static final long NOTICE_MILLIS = 2_500;
 
   /** What a load costs at the adapter's home, which probably held it lately, in milliseconds. */
-  private static final double HOME_LOAD_MILLIS = 200;
+  private static final double HOME_LOAD_MILLIS = 100;
+
+  /** What a load costs at the second home, which takes what the first cannot, in milliseconds. */
+  private static final double SECOND_HOME_LOAD_MILLIS = 400;
 
   /** What a load costs elsewhere, in milliseconds. */
-  private static final double LOAD_MILLIS = 500;
+  private static final double LOAD_MILLIS = 800;
+
+  /** What a desk that may not order its engine costs if the adapter is absent, in milliseconds. */
+  private static final double NO_HOLDER_MILLIS = 800;
 
   /** What each request that waits for a slot adds, in milliseconds. */
   private static final double WAITING_MILLIS = 150;
@@ -131,41 +139,43 @@
       ZoneDistances distances,
       ToDoubleFunction<FleetEndpoint> failures,
       long nowMillis) {
-    Optional<String> home = home(engines, adapter, distances);
+    List<String> homes = homes(engines, adapter);
     return engines.stream()
         .filter(engine -> !excluded.contains(engine.life()))
         .min(
             (first, second) ->
                 Double.compare(
                     failures.applyAsDouble(first)
-                        + costMillis(first, adapter, home, distances, nowMillis),
+                        + costMillis(first, adapter, homes, distances, nowMillis),
                     failures.applyAsDouble(second)
-                        + costMillis(second, adapter, home, distances, nowMillis)));
+                        + costMillis(second, adapter, homes, distances, nowMillis)));
   }
 
-  /** Finds the adapter's home among the engines of the nearest region that has any. */
-  private static Optional<String> home(
-      Collection<FleetEndpoint> engines, String adapter, ZoneDistances distances) {
+  /** Finds the adapter's two homes: the same for all hosts, so that few engines fetch it. */
+  private static List<String> homes(Collection<FleetEndpoint> engines, String adapter) {
     return engines.stream()
-        .min(
-            (first, second) -> {
-              int byRegion =
-                  Boolean.compare(
-                      distances.isOtherRegion(first.zone()),
-                      distances.isOtherRegion(second.zone()));
-              return byRegion != 0
-                  ? byRegion
-                  : Long.compareUnsigned(
-                      RendezvousHash.weight(adapter, second.id()),
-                      RendezvousHash.weight(adapter, first.id()));
-            })
-        .map(FleetEndpoint::life);
+        .sorted(
+            (first, second) ->
+                Long.compareUnsigned(
+                    RendezvousHash.weight(adapter, second.id()),
+                    RendezvousHash.weight(adapter, first.id())))
+        .limit(2)
+        .map(FleetEndpoint::life)
+        .toList();
+  }
+
+  private static double loadMillis(int home) {
+    return switch (home) {
+      case 0 -> HOME_LOAD_MILLIS;
+      case 1 -> SECOND_HOME_LOAD_MILLIS;
+      default -> LOAD_MILLIS;
+    };
   }
 
   private double costMillis(
       FleetEndpoint engine,
       String adapter,
-      Optional<String> home,
+      List<String> homes,
       ZoneDistances distances,
       long nowMillis) {
     double cost = distances.millis(engine.zone());
@@ -177,14 +187,14 @@
             || notice.filter(known -> known.adapters().contains(adapter)).isPresent();
     cost += own == null ? 0 : own.readingMillis;
     if (!there) {
-      cost += home.equals(Optional.of(engine.life())) ? HOME_LOAD_MILLIS : LOAD_MILLIS;
+      cost += loadMillis(homes.indexOf(engine.life()));
     }
     if (notice.isPresent()) {
       cost += notice.get().backlogMillis();
       if (!there) {
         cost += notice.get().waiting() * WAITING_MILLIS;
         cost += notice.get().freeSlots() == 0 ? FULL_MILLIS : 0;
-        cost += notice.get().holding() ? 0 : LOAD_MILLIS;
+        cost += notice.get().holding() ? 0 : NO_HOLDER_MILLIS;
       }
     }
     return cost;
