Hosts tell each other the counts of orders; broken links are not asked

The log of one turn shows why: the successor's first reading missed the last four orders (72 instead of 76), so that its wait would have begun anew when it came to take the engine; meanwhile a host that came back ranked first and began its own wait from nothing. After a host's end its engines were asked of it for two seconds more, until it counted as silent.

Change: each desk's notice goes with the engine's count of orders and the time since which it stands; a host that reads the same count may use the earlier time (no order can have come in between). A leaving holder says its last count. A desk reads its engine once more 0.4 s after it was opened. An engine that another host says it holds is not taken by such evidence. A host whose link broke is not asked until it is heard again; its rank stays, so that two hosts do not both believe to be first.

Ruled out: keeping newcomers out of the rank (the nearest host should hold), a shorter lease (a rule).

Open, next: polls of a load that is under way do not raise the count, so the evidence has to cover them.

--- a/core/src/main/java/org/lentilhinge/permit/EngineBoard.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineBoard.java
@@ -116,6 +116,20 @@
     return current(life, nowMillis).map(Noted::host);
   }
 
+  /**
+   * Tells whether another host says that it holds an engine.
+   *
+   * @param life the life of the engine
+   * @param self this host
+   * @param nowMillis the time
+   * @return whether a notice that still counts says so
+   */
+  public boolean isHeldElsewhere(String life, String self, long nowMillis) {
+    return current(life, nowMillis)
+        .filter(noted -> noted.notice().holding() && !noted.host().equals(self))
+        .isPresent();
+  }
+
   private Optional<Noted> current(String life, long nowMillis) {
     return Optional.ofNullable(notices.get(life))
         .filter(noted -> nowMillis - noted.atMillis() <= NOTICE_MILLIS);
--- a/core/src/main/java/org/lentilhinge/permit/EngineHold.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineHold.java
@@ -70,6 +70,26 @@
     }
   }
 
+  /**
+   * Takes an earlier time at which the count that was read last stood already, as another host saw.
+   *
+   * @param sinceMillis the time
+   */
+  public void stillSince(long sinceMillis) {
+    if (!isHolding()) {
+      stillSinceMillis = Math.min(stillSinceMillis, sinceMillis);
+    }
+  }
+
+  /**
+   * Gets the time since which the count of orders is known to stand.
+   *
+   * @return the time of the first reading, or of the last order if this host holds the engine
+   */
+  public long stillSinceMillis() {
+    return stillSinceMillis;
+  }
+
   /** Notes that an order went out whose fate is unknown: the count may have risen by one. */
   public void unanswered() {
     uncertain++;
--- a/core/src/main/java/org/lentilhinge/permit/HostDirectory.java
+++ b/core/src/main/java/org/lentilhinge/permit/HostDirectory.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +23,7 @@
   private final Map<String, Heard> heard = new HashMap<>();
   private final Map<String, Long> told = new HashMap<>();
   private final Set<String> lost = new LinkedHashSet<>();
+  private final Set<String> unlinked = new HashSet<>();
 
   private record Heard(HostBeacon beacon, long atMillis) {}
 
@@ -56,6 +58,7 @@
   public boolean heard(String host, HostBeacon beacon, long nowMillis) {
     Heard former = heard.put(host, new Heard(beacon, nowMillis));
     lost.remove(host);
+    unlinked.remove(host);
     beacon.hosts().forEach(name -> told.put(name, nowMillis));
     told.put(host, nowMillis);
     return former == null;
@@ -71,6 +74,25 @@
     told.put(host, nowMillis);
   }
 
+  /**
+   * Notes that the link with a host broke: it may have ended.
+   *
+   * @param host the host
+   */
+  public void unlinked(String host) {
+    unlinked.add(host);
+  }
+
+  /**
+   * Tells whether a host can be asked now.
+   *
+   * @param host the host
+   * @return whether nothing is known against it since its last beacon
+   */
+  public boolean isLinked(String host) {
+    return !unlinked.contains(host);
+  }
+
   /**
    * Gives up the hosts that have fallen silent.
    *
@@ -81,6 +103,7 @@
     List<String> gone = new ArrayList<>();
     for (Map.Entry<String, Heard> entry : Map.copyOf(heard).entrySet()) {
       if (nowMillis - entry.getValue().atMillis() > SILENCE_MILLIS) {
+        unlinked.remove(entry.getKey());
         heard.remove(entry.getKey());
         lost.add(entry.getKey());
         gone.add(entry.getKey());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineDesks.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineDesks.java
@@ -9,6 +9,8 @@
 import org.lentilhinge.permit.DeskSettings;
 import org.lentilhinge.permit.EngineDesk;
 import org.lentilhinge.permit.EngineNotice;
+import org.lentilhinge.permit.OrderCount;
+import org.lentilhinge.permit.OrderCounts;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitAsk;
 import org.lentilhinge.permit.PermitEnd;
@@ -38,6 +40,7 @@
   private final PeerSender peers;
   private final HostState state;
   private final Map<String, HeldEngine> desks = new HashMap<>();
+  private final OrderCounts counts = new OrderCounts();
   private long tickedMillis;
 
   EngineDesks(HostContext context, EngineControl control, PeerSender peers, HostState state) {
@@ -75,6 +78,11 @@
     }
   }
 
+  /** Takes another host's count of an engine's orders. */
+  void counted(OrderCount count) {
+    counts.seen(count.life(), count.orders(), context.now() - count.stillMillis());
+  }
+
   private Optional<HeldEngine> desk(String life) {
     HeldEngine open = desks.get(life);
     if (open != null) {
@@ -106,7 +114,7 @@
             .orElse("");
     EngineDesk desk =
         new EngineDesk(settings, model, !engine.models().isEmpty(), PROMPT_TOKENS_PER_MILLI);
-    HeldEngine held = new HeldEngine(context, control, peers, state, engine, desk);
+    HeldEngine held = new HeldEngine(context, control, peers, state, engine, desk, counts);
     desks.put(engine.life(), held);
     return Optional.of(held);
   }
@@ -133,7 +141,10 @@
 
   /** Gives up all engines; their resident adapters are served on. */
   void giveUp(String reason) {
-    List.copyOf(desks.values()).forEach(desk -> desk.giveUp(reason));
+    for (HeldEngine desk : List.copyOf(desks.values())) {
+      desk.giveUp(reason);
+      desk.announceCount();
+    }
   }
 
   /** Tells all hosts how the engines of this host's desks stand. */
@@ -147,11 +158,18 @@
       state.board().noted(context.host(), notice, now);
       if (desk.isHolding() || state.desk(desk.engine()).equals(context.host())) {
         state.hosts().alive().forEach(host -> peers.send(host, notice));
+        desk.announceCount();
       }
     }
   }
 
-  void close(String life) {
+  /** Forgets an engine that is gone. */
+  void forget(String life) {
+    close(life);
+    counts.forget(life);
+  }
+
+  private void close(String life) {
     HeldEngine desk = desks.remove(life);
     if (desk != null) {
       desk.close();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -23,6 +23,7 @@
 import org.lentilhinge.message.PeerMessage;
 import org.lentilhinge.permit.EngineNotice;
 import org.lentilhinge.permit.HostBeacon;
+import org.lentilhinge.permit.OrderCount;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitAsk;
 import org.lentilhinge.permit.PermitEnd;
@@ -251,6 +252,8 @@
     } else if (message instanceof EngineNotice notice) {
       state.board().noted(host, notice, context.now());
       desks.noted(host, notice);
+    } else if (message instanceof OrderCount count) {
+      desks.counted(count);
     } else if (message instanceof PermitAsk ask) {
       desks.ask(host, ask);
     } else if (message instanceof PermitAnswer answer) {
@@ -267,6 +270,7 @@
       state.hosts().met(host, context.now());
       beacon();
     } else {
+      state.hosts().unlinked(host);
       permits.hostGone(host);
       state.board().hostGone(host);
     }
@@ -391,7 +395,7 @@
               change.endpoint().revision());
       if (change.kind() == FleetChange.Kind.GONE) {
         String life = change.endpoint().life();
-        desks.close(life);
+        desks.forget(life);
         state.board().forget(life);
         state.scores().forget(life);
         pool.forget(change.endpoint().address());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
@@ -2,6 +2,7 @@
 
 import org.lentilhinge.permit.EngineNotice;
 import org.lentilhinge.permit.HostBeacon;
+import org.lentilhinge.permit.OrderCount;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitAsk;
 import org.lentilhinge.permit.PermitEnd;
@@ -18,6 +19,7 @@
         .register(2, EngineNotice.class)
         .register(3, PermitAsk.class)
         .register(4, PermitAnswer.class)
-        .register(5, PermitEnd.class);
+        .register(5, PermitEnd.class)
+        .register(6, OrderCount.class);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
@@ -16,6 +16,7 @@
 import org.lentilhinge.permit.EngineDesk;
 import org.lentilhinge.permit.EngineHold;
 import org.lentilhinge.permit.EngineNotice;
+import org.lentilhinge.permit.OrderCounts;
 import org.lentilhinge.permit.PermitAsk;
 import org.lentilhinge.permit.PermitEnd;
 
@@ -40,6 +41,9 @@
   /** The shortest time between two readings of an engine that may not answer, in milliseconds. */
   private static final long READ_PAUSE_MILLIS = 300;
 
+  /** The first reading may miss orders of the last moments, which a second one shows. */
+  private static final long CONFIRM_MILLIS = 400;
+
   /** An order that is not done after this time has failed, in milliseconds. */
   private static final long ORDER_MILLIS = 10_000;
 
@@ -53,6 +57,7 @@
   private final FleetEndpoint engine;
   private final EngineDesk desk;
   private final EngineHold hold;
+  private final OrderCounts counts;
   private final Deque<AdapterOrder> orders = new ArrayDeque<>();
   private final Map<AdapterOrder, Long> begun = new HashMap<>();
   private final Set<AdapterOrder> counted = new HashSet<>();
@@ -64,6 +69,8 @@
 
   private boolean deciding;
   private long readMillis;
+  private final long openedMillis;
+  private boolean confirmed;
   private boolean closed;
 
   HeldEngine(
@@ -72,7 +79,9 @@
       PeerSender peers,
       HostState state,
       FleetEndpoint engine,
-      EngineDesk desk) {
+      EngineDesk desk,
+      OrderCounts counts) {
+    this.counts = counts;
     this.context = context;
     this.control = control;
     this.peers = peers;
@@ -82,6 +91,7 @@
     this.hold =
         new EngineHold(
             context.settings().bounds().leaseMillis(), RendezvousHash.hash(context.host()));
+    openedMillis = context.now();
     desk.awaitReport();
     read(OPENED);
   }
@@ -131,6 +141,7 @@
   void giveUp(String reason) {
     if (hold.isHolding()) {
       context.log().line("hold-lost", "engine", engine.id(), "to", reason);
+      counts.seen(engine.life(), hold.expectedOrders().orElse(0), hold.stillSinceMillis());
     }
     hold.stepBack(context.now());
     desk.ordering(false);
@@ -144,6 +155,10 @@
     if (desk.isUnreachable(context.now()) && context.now() - readMillis >= READ_PAUSE_MILLIS) {
       read("unreachable");
     }
+    if (!hold.isHolding() && !confirmed && context.now() - openedMillis >= CONFIRM_MILLIS) {
+      confirmed = true;
+      read("confirm");
+    }
     int rank = state.ranking(engine).indexOf(context.host());
     if (!hold.isHolding() && rank >= 0) {
       desk.orderingIn(hold.dueInMillis(rank, context.now()));
@@ -182,6 +197,10 @@
     long now = context.now();
     boolean held = hold.isHolding();
     hold.observed(report.orders(), now);
+    counts.seen(engine.life(), report.orders(), now);
+    if (!state.board().isHeldElsewhere(engine.life(), context.host(), now)) {
+      counts.since(engine.life(), report.orders()).ifPresent(hold::stillSince);
+    }
     int rank = state.ranking(engine).indexOf(context.host());
     boolean taken = !held && rank >= 0 && hold.take(rank, state.revision(), now);
     if (!held || stale) {
@@ -219,6 +238,17 @@
     sendNext();
   }
 
+  /** Tells all hosts how many orders the engine has accepted, and since when no more. */
+  void announceCount() {
+    long now = context.now();
+    if (hold.isHolding()) {
+      counts.seen(engine.life(), hold.expectedOrders().orElse(0), hold.stillSinceMillis());
+    }
+    counts
+        .newest(engine.life(), now)
+        .ifPresent(count -> state.hosts().alive().forEach(host -> peers.send(host, count)));
+  }
+
   private void peersHear() {
     EngineNotice notice = notice();
     state.hosts().alive().forEach(host -> peers.send(host, notice));
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -144,9 +144,13 @@
         engine.id(), engine.zone(), distances.regionOf(engine.zone()), hosts.candidates(leaving));
   }
 
-  /** Finds the host that decides for an engine: the one that says so, or the first in rank. */
+  /**
+   * Finds the host that decides for an engine: the one that says so, or the first in rank whose
+   * link is up. A host whose link broke keeps its rank until it is silent for longer.
+   */
   String desk(FleetEndpoint engine) {
     Optional<String> noted = board.host(engine.life(), context.now());
-    return noted.orElseGet(() -> ranking(engine).stream().findFirst().orElse(context.host()));
+    return noted.orElseGet(
+        () -> ranking(engine).stream().filter(hosts::isLinked).findFirst().orElse(context.host()));
   }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/HeldEngineTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/HeldEngineTest.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
@@ -18,6 +19,8 @@
 import org.lentilhinge.permit.AdapterOrder;
 import org.lentilhinge.permit.DeskSettings;
 import org.lentilhinge.permit.EngineDesk;
+import org.lentilhinge.permit.EngineNotice;
+import org.lentilhinge.permit.OrderCounts;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitAsk;
 import org.testng.annotations.AfterClass;
@@ -61,19 +64,22 @@
     private final AtomicLong now = new AtomicLong(1_000);
     private final List<AdapterOrder> orders = new ArrayList<>();
     private final List<PermitAnswer> answers = new ArrayList<>();
+    private final OrderCounts counts = new OrderCounts();
     private final HeldEngine held;
     private OrderReply reply = OrderReply.ACCEPTED;
     private long number;
+    private long orderCount = 7;
+
+    private final HostContext context =
+        new HostContext(
+            vertx,
+            ForwardFixture.settings(),
+            now::get,
+            new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
+            new MetricRegistry());
+    private final HostState state = new HostState(context);
 
     World() {
-      HostContext context =
-          new HostContext(
-              vertx,
-              ForwardFixture.settings(),
-              now::get,
-              new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
-              new MetricRegistry());
-      HostState state = new HostState(context);
       state.revision(5);
       PeerSender peers =
           (host, message) -> {
@@ -82,12 +88,20 @@
             }
           };
       EngineDesk desk = new EngineDesk(new DeskSettings(64, 100_000, 6, 4, 120), "m", true, 22);
-      held = new HeldEngine(context, this, peers, state, ENGINE, desk);
-      now.addAndGet(ForwardFixture.settings().bounds().leaseMillis() * 2);
-      held.tick();
+      held = new HeldEngine(context, this, peers, state, ENGINE, desk, counts);
+    }
+
+    /** Lets the count of orders stand still for longer than the lease. */
+    private void waitAndTake() {
+      pass(ForwardFixture.settings().bounds().leaseMillis() * 2);
       assertTrue(held.isHolding());
     }
 
+    private void pass(long millis) {
+      now.addAndGet(millis);
+      held.tick();
+    }
+
     @Override
     public Future<OrderReply> order(
         FleetEndpoint engine, AdapterOrder order, long expected, String holder, long fence) {
@@ -97,7 +111,7 @@
 
     @Override
     public Future<EngineReport> report(FleetEndpoint engine) {
-      return Future.succeededFuture(new EngineReport(7, List.of("m"), Map.of(), Map.of()));
+      return Future.succeededFuture(new EngineReport(orderCount, List.of("m"), Map.of(), Map.of()));
     }
 
     private void ask(String adapter) {
@@ -111,6 +125,7 @@
     onLoop(
         () -> {
           World world = new World();
+          world.waitAndTake();
           world.reply = OrderReply.MISDIRECTED;
           world.ask("x");
           world.ask("y");
@@ -125,6 +140,7 @@
     onLoop(
         () -> {
           World world = new World();
+          world.waitAndTake();
           world.ask("x");
           assertEquals(world.orders.size(), 1);
           world.held.giveUp("own-stop");
@@ -134,4 +150,33 @@
           assertEquals(world.orders.size(), 1);
         });
   }
+
+  @Test
+  public void countThatAnotherHostSawShortensTheWaitAfterItsEnd() {
+    onLoop(
+        () -> {
+          World world = new World();
+          // The first reading is older than the last orders of the host that ends.
+          world.orderCount = 9;
+          world.counts.seen("e/1", 9, world.now.get() - 2_000);
+          world.pass(1_000);
+          assertFalse(world.held.isHolding());
+          world.pass(600);
+          assertTrue(world.held.isHolding());
+        });
+  }
+
+  @Test
+  public void engineThatAnotherHostHoldsIsNotTakenForStandingStill() {
+    onLoop(
+        () -> {
+          World world = new World();
+          world.counts.seen("e/1", 7, world.now.get() - 20_000);
+          EngineNotice notice = new EngineNotice("e/1", true, List.of(), 0, 6, 0);
+          world.state.board().noted("other", notice, world.now.get());
+          world.held.heldElsewhere("other");
+          world.pass(500);
+          assertFalse(world.held.isHolding());
+        });
+  }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/HostStateTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/HostStateTest.java
@@ -93,4 +93,16 @@
     state.leave();
     assertEquals(state.desk(engine("a")), "10.0.0.2");
   }
+
+  @Test
+  public void hostWhoseLinkBrokeIsNotAskedButKeepsItsRank() {
+    HostState state = state();
+    HostBeacon beacon = new HostBeacon("b", "south", false, List.of());
+    state.hosts().heard("10.0.0.2", beacon, 100);
+    state.hosts().unlinked("10.0.0.2");
+    assertEquals(state.desk(engine("b")), "10.0.0.1");
+    assertEquals(state.ranking(engine("b")).get(0), "10.0.0.2");
+    state.hosts().heard("10.0.0.2", beacon, 150);
+    assertEquals(state.desk(engine("b")), "10.0.0.2");
+  }
 }
