Watch long loads by reports instead of repeating the order

A repeated order does not raise the engine's count, so that another host which sees the count stand still for the lease could take the engine although the holder, cut off from it but not from the engine, had sent an order a moment ago: two holders that take turns within the lease (ONE).

Change: an order is repeated for at most 0.33 s after the last counted one; after that the engine's report is read each 0.3 s until it shows the order done. 0.33 s lies within the 0.4 s that a taker waits beyond the lease.

Test: HeldEngineTest.loadThatTakesLongIsWatchedByReportsAndNotByRepeatedOrders.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -44,6 +45,12 @@
   /** The first reading may miss orders of the last moments, which a second one shows. */
   private static final long CONFIRM_MILLIS = 400;
 
+  /**
+   * How long after its last counted order a host repeats orders, in milliseconds: a load from the
+   * store takes 290, and the 400 that others add to the lease have to cover it.
+   */
+  private static final long REPEATED_MILLIS = 330;
+
   /** An order that is not done after this time has failed, in milliseconds. */
   private static final long ORDER_MILLIS = 10_000;
 
@@ -61,6 +68,7 @@
   private final Deque<AdapterOrder> orders = new ArrayDeque<>();
   private final Map<AdapterOrder, Long> begun = new HashMap<>();
   private final Set<AdapterOrder> counted = new HashSet<>();
+  private final Set<AdapterOrder> awaited = new LinkedHashSet<>();
   private boolean sending;
   private boolean reading;
 
@@ -190,6 +198,9 @@
 
   private void unreachable(String reason) {
     context.log().line("engine-unreachable", "engine", engine.id(), "why", reason);
+    List<AdapterOrder> unchecked = List.copyOf(awaited);
+    awaited.clear();
+    unchecked.forEach(order -> later(order, READ_PAUSE_MILLIS));
     carryOut(desk.unreachable(context.now()));
   }
 
@@ -235,6 +246,7 @@
       peersHear();
     }
     carryOut(desk.decide(now));
+    settleAwaited(report);
     sendNext();
   }
 
@@ -393,14 +405,36 @@
       settle(order, false);
       return;
     }
-    context
-        .vertx()
-        .setTimer(
-            millis,
-            id -> {
-              orders.add(order);
-              sendNext();
-            });
+    context.vertx().setTimer(millis, id -> check(order));
+  }
+
+  /**
+   * Asks whether an order is done: by the order again, which is cheap, or by a report. An order
+   * that is repeated does not raise the engine's count; another host that sees the count stand
+   * still has to be sure that this host has sent nothing for the lease.
+   */
+  void check(AdapterOrder order) {
+    boolean repeatable =
+        !counted.contains(order) || context.now() - hold.stillSinceMillis() <= REPEATED_MILLIS;
+    if (repeatable) {
+      orders.add(order);
+      sendNext();
+    } else if (hold.isHolding()) {
+      awaited.add(order);
+      read("order-check");
+    }
+  }
+
+  private void settleAwaited(EngineReport report) {
+    List<AdapterOrder> checked = List.copyOf(awaited);
+    awaited.clear();
+    for (AdapterOrder order : checked) {
+      if (report.shows(order)) {
+        settle(order, true);
+      } else {
+        later(order, READ_PAUSE_MILLIS);
+      }
+    }
   }
 
   private void settle(AdapterOrder order, boolean done) {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/HeldEngineTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/HeldEngineTest.java
@@ -10,6 +10,7 @@
 import io.vertx.core.Vertx;
 import java.io.PrintStream;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -69,6 +70,7 @@
     private OrderReply reply = OrderReply.ACCEPTED;
     private long number;
     private long orderCount = 7;
+    private final Map<String, Long> adapters = new HashMap<>();
 
     private final HostContext context =
         new HostContext(
@@ -111,7 +113,7 @@
 
     @Override
     public Future<EngineReport> report(FleetEndpoint engine) {
-      return Future.succeededFuture(new EngineReport(orderCount, List.of("m"), Map.of(), Map.of()));
+      return Future.succeededFuture(new EngineReport(orderCount, List.of("m"), adapters, Map.of()));
     }
 
     private void ask(String adapter) {
@@ -179,4 +181,25 @@
           assertFalse(world.held.isHolding());
         });
   }
+
+  @Test
+  public void loadThatTakesLongIsWatchedByReportsAndNotByRepeatedOrders() {
+    onLoop(
+        () -> {
+          World world = new World();
+          world.waitAndTake();
+          world.ask("x");
+          AdapterOrder load = world.orders.get(0);
+          world.now.addAndGet(100);
+          world.held.check(load);
+          assertEquals(world.orders.size(), 2);
+          world.now.addAndGet(300);
+          world.held.check(load);
+          assertEquals(world.orders.size(), 2);
+          world.adapters.put("x", 0L);
+          world.held.check(load);
+          assertEquals(world.orders.size(), 2);
+          assertTrue(world.answers.get(0).granted());
+        });
+  }
 }
