--- a/core/src/main/java/org/lentilhinge/permit/DeskSettings.java
+++ b/core/src/main/java/org/lentilhinge/permit/DeskSettings.java
@@ -10,4 +10,11 @@
  * @param backlogMillis the reading of prompts that may lie before a request at the engine
  */
 public record DeskSettings(
-    int batchSlots, int memoryTokens, int adapterSlots, int maximumLoads, long backlogMillis) {}
+    int batchSlots, int memoryTokens, int adapterSlots, int maximumLoads, long backlogMillis) {
+
+  /**
+   * The speed at which an engine is believed to read prompts until its first events have told: that
+   * of today's users' engines, in tokens a millisecond.
+   */
+  public static final double FIRST_TOKENS_PER_MILLI = 22;
+}
--- a/core/src/main/java/org/lentilhinge/permit/EngineBoard.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineBoard.java
@@ -37,9 +37,6 @@
   /** What each request that waits for a slot adds, in milliseconds. */
   private static final double WAITING_MILLIS = 150;
 
-  /** The speed at which engines read prompts, in tokens a millisecond. */
-  private static final double TOKENS_PER_MILLI = 22;
-
   /** What having no slot to give adds, in milliseconds. */
   private static final double FULL_MILLIS = 300;
 
@@ -82,7 +79,7 @@
    */
   public void asked(String life, String adapter, int promptTokens) {
     Asked own = asked.computeIfAbsent(life, unused -> new Asked());
-    own.readingMillis += promptTokens / TOKENS_PER_MILLI;
+    own.readingMillis += promptTokens / DeskSettings.FIRST_TOKENS_PER_MILLI;
     own.adapters.add(adapter);
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineDesks.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineDesks.java
@@ -29,9 +29,6 @@
   /** A part of the engine's memory is left to requests whose answers grow. */
   private static final double MEMORY_PART = 0.9;
 
-  /** The speed at which engines of today's users read prompts, in tokens a millisecond. */
-  private static final double PROMPT_TOKENS_PER_MILLI = 22;
-
   /** A process that stood still for longer may have lost its engines, in milliseconds. */
   private static final long PAUSE_MILLIS = 1_000;
 
@@ -113,7 +110,8 @@
             .or(() -> traits.get().models().stream().findFirst())
             .orElse("");
     EngineDesk desk =
-        new EngineDesk(settings, model, !engine.models().isEmpty(), PROMPT_TOKENS_PER_MILLI);
+        new EngineDesk(
+            settings, model, !engine.models().isEmpty(), DeskSettings.FIRST_TOKENS_PER_MILLI);
     HeldEngine held = new HeldEngine(context, control, peers, state, engine, desk, counts);
     desks.put(engine.life(), held);
     return Optional.of(held);
