A host takes an engine only with a revision of the store that it read just now

Both ordered the same model; an engine answers an order that is under way already with 202, whatever count was expected, so that it did not arbitrate. The cut-off host's fencing number came from the revision it had read before the cut, and was lower than the other's.

Change: taking wants a revision that this host read within half a lease. That is not older than the revision of any holder whose last order lies the lease back, and a host that is cut off from the store takes nothing.

Ruled out: waiting and reading once more before the first order (both sides read the old count within the age of reports); evidence alone as the cause (a host that opened its desk before the cut could do the same, more rarely).

Test, red before: HeldEngineTest.hostThatTheStoreRefusesTakesNothingWithItsOldRevision.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HeldEngine.java
@@ -213,7 +213,7 @@
       counts.since(engine.life(), report.orders()).ifPresent(hold::stillSince);
     }
     int rank = state.ranking(engine).indexOf(context.host());
-    boolean taken = !held && rank >= 0 && hold.take(rank, state.revision(), now);
+    boolean taken = !held && rank >= 0 && hold.take(rank, state.freshRevision(), now);
     if (!held || stale) {
       stale = false;
       desk.reported(!report.models().isEmpty(), report.adapters(), report.coming(), now);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -20,6 +20,9 @@
 /** What one host believes: configuration, endpoints, engines and other hosts. */
 final class HostState {
 
+  /** The part of the lease for which a revision is fresh; the rest covers slow answers. */
+  private static final double FRESH_PART = 0.5;
+
   private final HostContext context;
   private final EndpointRegistry endpoints = new EndpointRegistry();
   private final EndpointScores scores = new EndpointScores();
@@ -31,6 +34,7 @@
   private Optional<ForwardConfiguration> configuration = Optional.empty();
   private RouteTable routes = new RouteTable(List.of());
   private long revision;
+  private long revisionMillis;
   private boolean leaving;
 
   HostState(HostContext context) {
@@ -122,12 +126,20 @@
   }
 
   void revision(long read) {
-    revision = Math.max(revision, read);
+    if (read >= revision) {
+      revision = read;
+      revisionMillis = context.now();
+    }
   }
 
-  /** Gets the newest revision of the store that this host has read; 0 if none. */
-  long revision() {
-    return revision;
+  /**
+   * Gets the newest revision of the store if this host read it a moment ago, else 0. A revision
+   * read within the lease is not older than that of any holder whose last order lies the lease
+   * back.
+   */
+  long freshRevision() {
+    long leaseMillis = context.settings().bounds().leaseMillis();
+    return context.now() - revisionMillis <= leaseMillis * FRESH_PART ? revision : 0;
   }
 
   boolean isLeaving() {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/HeldEngineTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/HeldEngineTest.java
@@ -101,6 +101,7 @@
 
     private void pass(long millis) {
       now.addAndGet(millis);
+      state.revision(5);
       held.tick();
     }
 
@@ -202,4 +203,18 @@
           assertTrue(world.answers.get(0).granted());
         });
   }
+
+  @Test
+  public void hostThatTheStoreRefusesTakesNothingWithItsOldRevision() {
+    onLoop(
+        () -> {
+          World world = new World();
+          long wait = ForwardFixture.settings().bounds().leaseMillis() * 2;
+          world.now.addAndGet(wait);
+          world.held.tick();
+          assertFalse(world.held.isHolding());
+          world.pass(wait);
+          assertTrue(world.held.isHolding());
+        });
+  }
 }
