--- /dev/null
+++ b/deploy/list-classes.sh
@@ -0,0 +1,22 @@
+#!/bin/sh
+# Writes the list of classes for the class-data archive: those of a start and a stop on this machine,
+# and those that a host loaded on the users' bench until it served its first requests.
+# Usage: sh deploy/list-classes.sh LOG > deploy/archive-classes.txt
+# LOG is the output of `fleetbench run ... --log NODE` of a day that was played with
+# -Xlog:class+load:stdout among the options of deploy/system.toml.
+set -eu
+started=$(mktemp)
+java -Xmx128m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dio.netty.jfr.enabled=false \
+  -XX:DumpLoadedClassList="$started" \
+  -jar target/lentilhinge.jar serve --settings deploy/archive.ini > /dev/null 2>&1 &
+host=$!
+sleep 2
+kill -TERM "$host"
+wait "$host" || true
+cat "$started"
+# Classes made while running (lambdas, proxies) have no place in the list by their names.
+grep -o '\[class,load\] [^ ]* source: [^ ]*' "$1" |
+  grep -v -e 'Lambda' -e '/0x' -e 'Proxy' -e 'source: __' |
+  awk '{ gsub(/\./, "/", $2); print $2 }' |
+  awk 'NR == FNR { seen[$1] = 1; next } !seen[$0]++' "$started" -
+rm -f "$started"
