Read every bound of the settings as a fraction

The template renders the platform's figures, and any of them may be a fraction.

Change: quantities with a unit accept a fraction and are rounded to the smallest unit; retry-extra is a decimal number, as the budget computes with fractions anyway.

Ruled out: rounding in the template, which has no arithmetic.

--- a/core/src/main/java/org/lentilhinge/configuration/Unit.java
+++ b/core/src/main/java/org/lentilhinge/configuration/Unit.java
@@ -13,7 +13,8 @@
   /** Sizes; the smallest unit is the byte. */
   SIZE(new Scale("B", 1), new Scale("KB", 1_000), new Scale("MB", 1_000_000));
 
-  private static final Pattern QUANTITY = Pattern.compile("(\\d{1,12}) ?([A-Za-z]+)");
+  private static final Pattern QUANTITY =
+      Pattern.compile("(\\d{1,12}(?:\\.\\d{1,15})?) ?([A-Za-z]+)");
 
   private final Scale[] scales;
 
@@ -22,7 +23,8 @@
   }
 
   /**
-   * Parses a quantity such as {@code 30 s} or {@code 48 MB}.
+   * Parses a quantity such as {@code 30 s}, {@code 0.5 s} or {@code 48 MB}. Fractions of the
+   * smallest unit are rounded.
    *
    * @param text the text
    * @return the quantity in the smallest unit, or empty if the text is malformed
@@ -35,7 +37,7 @@
     return Arrays.stream(scales)
         .filter(scale -> scale.name().equals(matcher.group(2)))
         .findFirst()
-        .map(scale -> Long.parseLong(matcher.group(1)) * scale.factor());
+        .map(scale -> Math.round(Double.parseDouble(matcher.group(1)) * scale.factor()));
   }
 
   /**
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardSettings.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardSettings.java
@@ -49,7 +49,7 @@
       long stopMillis,
       long leaseMillis,
       double retryRatio,
-      int retryExtra,
+      double retryExtra,
       long retryWindowMillis) {}
 
   /**
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardSettingsReader.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardSettingsReader.java
@@ -126,7 +126,7 @@
         section.quantity("stop", Unit.DURATION, 1_000, 3_600_000, 8_000),
         section.quantity("lease", Unit.DURATION, 100, 600_000, 3_000),
         section.decimal("retry-ratio", 0, 1, 0.1),
-        (int) section.number("retry-extra", 0, 1_000_000, 10),
+        section.decimal("retry-extra", 0, 1_000_000, 10),
         section.quantity("retry-window", Unit.DURATION, 1_000, 600_000, 10_000));
   }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardSettingsReaderTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardSettingsReaderTest.java
@@ -51,6 +51,20 @@
     assertEquals(settings.metricsPort(), 0);
   }
 
+  @Test
+  public void acceptsFractionsInAllBounds() {
+    String fractions =
+        VALID
+            .replace("stop = 8 s", "stop = 8.25 s")
+            .replace("lease = 3000 ms", "lease = 2999.6 ms")
+            .replace("retry-extra = 56", "retry-extra = 37.096774193548384")
+            .replace("retry-window = 10 s", "retry-window = 10.5 s");
+    ForwardSettings settings = reader.read("s.ini", fractions).get();
+    assertEquals(
+        settings.bounds(),
+        new ForwardSettings.Bounds(8_250, 3_000, 0.2, 37.096774193548384, 10_500));
+  }
+
   @Test
   public void reportsAllFindings() {
     String invalid =
