--- a/benchmarks/src/main/java/org/lentilhinge/benchmarks/LinkMeasurement.java
+++ b/benchmarks/src/main/java/org/lentilhinge/benchmarks/LinkMeasurement.java
@@ -54,7 +54,7 @@
       HostId host = new HostId("entry-" + number);
       PeerNetwork network = network(vertx, host, metrics);
       int port = network.start().toCompletionStage().toCompletableFuture().join();
-      addresses.add(new PeerAddress(host, ZONE, "127.0.0.1", port));
+      addresses.add(new PeerAddress(host, true, "127.0.0.1", port));
       networks.add(network);
     }
     long idle = usedHeap();
--- a/core/src/main/java/org/lentilhinge/permit/EngineStatus.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineStatus.java
@@ -1,7 +1,6 @@
 package org.lentilhinge.permit;
 
 import java.util.List;
-import org.lentilhinge.message.PeerMessage;
 
 /**
  * The status of an engine, which the host that runs its scheduler sends to all hosts.
@@ -20,8 +19,7 @@
     List<String> adapters,
     long backlogMillis,
     int availableSlots,
-    int waitingAdapters)
-    implements PeerMessage {
+    int waitingAdapters) {
 
   /**
    * Copies the adapters.
@@ -36,4 +34,8 @@
   public EngineStatus {
     adapters = List.copyOf(adapters);
   }
+
+  EngineStatus withBacklog(long millis) {
+    return new EngineStatus(incarnation, owned, adapters, millis, availableSlots, waitingAdapters);
+  }
 }
--- a/core/src/main/java/org/lentilhinge/permit/OrderCount.java
+++ b/core/src/main/java/org/lentilhinge/permit/OrderCount.java
@@ -1,7 +1,5 @@
 package org.lentilhinge.permit;
 
-import org.lentilhinge.message.PeerMessage;
-
 /**
  * The number of orders that an engine had accepted, as sent to other hosts. With this count, the
  * next owner need not wait for a full lease after it first read the count itself.
@@ -10,5 +8,4 @@
  * @param acceptedOrders the number of accepted orders
  * @param unchangedMillis the time since this count was first read, in milliseconds
  */
-public record OrderCount(String incarnation, long acceptedOrders, long unchangedMillis)
-    implements PeerMessage {}
+public record OrderCount(String incarnation, long acceptedOrders, long unchangedMillis) {}
--- /dev/null
+++ b/core/src/test/java/org/lentilhinge/overlay/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the membership of the entry hosts. */
+package org.lentilhinge.overlay;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -1,5 +1,6 @@
 package org.lentilhinge.runtime.forward;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,15 +43,22 @@
   private final HostContext context;
   private final EngineControl control;
   private final PeerSender peers;
+  private final StatusExchange statuses;
   private final HostState state;
   private final Map<String, OwnedEngineRunner> runners = new HashMap<>();
   private final OrderCounts counts = new OrderCounts();
   private long lastTickAtMillis;
 
-  EngineSchedulers(HostContext context, EngineControl control, PeerSender peers, HostState state) {
+  EngineSchedulers(
+      HostContext context,
+      EngineControl control,
+      PeerSender peers,
+      StatusExchange statuses,
+      HostState state) {
     this.context = context;
     this.control = control;
     this.peers = peers;
+    this.statuses = statuses;
     this.state = state;
   }
 
@@ -124,7 +132,7 @@
             !engine.models().isEmpty(),
             SchedulerSettings.INITIAL_TOKENS_PER_MILLISECOND);
     OwnedEngineRunner runner =
-        new OwnedEngineRunner(context, control, peers, state, engine, scheduler, counts);
+        new OwnedEngineRunner(context, control, peers, statuses, state, engine, scheduler, counts);
     runners.put(engine.incarnation(), runner);
     return Optional.of(runner);
   }
@@ -154,26 +162,31 @@
 
   /** Relinquishes all engines. Requests for their resident adapters are still served. */
   void relinquishAll(String reason) {
+    List<OrderCount> orderCounts = new ArrayList<>();
     for (OwnedEngineRunner runner : List.copyOf(runners.values())) {
       runner.relinquish(reason);
-      runner.broadcastOrderCount();
+      runner.orderCount().ifPresent(orderCounts::add);
     }
+    statuses.publish(List.of(), orderCounts);
   }
 
   /** Sends the status of this host's engines to all hosts. */
-  void broadcastStatus() {
+  void publishStatuses() {
     if (state.isLeaving()) {
       return;
     }
     long now = context.now();
+    List<EngineStatus> published = new ArrayList<>();
+    List<OrderCount> orderCounts = new ArrayList<>();
     for (OwnedEngineRunner runner : runners.values()) {
       EngineStatus status = runner.status();
       state.engineSelector().updateStatus(context.host(), status, now);
       if (runner.isOwner() || state.schedulerHost(runner.engine()).equals(context.host())) {
-        state.hosts().liveHosts().forEach(host -> peers.send(host, status));
-        runner.broadcastOrderCount();
+        published.add(status);
+        runner.orderCount().ifPresent(orderCounts::add);
       }
     }
+    statuses.publish(published, orderCounts);
   }
 
   /** Removes an engine that is no longer registered. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -21,16 +21,16 @@
 import org.lentilhinge.identity.HostIncarnation;
 import org.lentilhinge.identity.ZoneId;
 import org.lentilhinge.message.PeerMessage;
-import org.lentilhinge.permit.EngineStatus;
-import org.lentilhinge.permit.HostHeartbeat;
-import org.lentilhinge.permit.OrderCount;
+import org.lentilhinge.overlay.HostOverlay;
+import org.lentilhinge.overlay.HostRecord;
+import org.lentilhinge.permit.EngineStatuses;
+import org.lentilhinge.permit.OwnerStatuses;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
+import org.lentilhinge.permit.StatusRelay;
 import org.lentilhinge.runtime.metric.MetricExposition;
-import org.lentilhinge.runtime.peer.LinkChange;
 import org.lentilhinge.runtime.peer.MessageCodec;
-import org.lentilhinge.runtime.peer.PeerAddress;
 import org.lentilhinge.runtime.peer.PeerMetrics;
 import org.lentilhinge.runtime.peer.PeerNetwork;
 import org.lentilhinge.runtime.peer.PeerSettings;
@@ -46,8 +46,11 @@
   /** The interval between ticks of the engine schedulers, in milliseconds. */
   private static final long TICK_INTERVAL_MILLIS = 50;
 
-  /** The interval between heartbeats and between engine status updates, in milliseconds. */
-  private static final long HEARTBEAT_INTERVAL_MILLIS = 200;
+  /** The interval between engine status updates, in milliseconds. */
+  private static final long STATUS_INTERVAL_MILLIS = 200;
+
+  /** The interval at which a relay passes on engine statuses of other hosts, in milliseconds. */
+  private static final long RELAY_INTERVAL_MILLIS = 100;
 
   /**
    * The time after which the load balancer sends no new requests to a host that is not ready, in
@@ -70,6 +73,8 @@
   private final Context loop;
   private final HostState state;
   private final PeerNetwork peers;
+  private final OverlayRunner overlay;
+  private final StatusExchange statuses;
   private final PermitClient permits;
   private final EngineSchedulers schedulers;
   private final EndpointPool pool;
@@ -104,15 +109,27 @@
       Random random) {
     this.loop = loop;
     context = new HostContext(vertx, settings, clocks.monotonicMillis(), log, metrics);
-    state = new HostState(context);
+    long startedAtMillis = clocks.wallMillis().getAsLong();
+    HostRecord self =
+        new HostRecord(
+            settings.host(),
+            settings.zone(),
+            settings.region(),
+            random.nextLong(),
+            startedAtMillis,
+            false);
+    List<String> seeds = settings.seeds().stream().map(HostNames::ofAddress).toList();
+    state = new HostState(context, new HostOverlay(self, seeds, random));
     pool = new EndpointPool(vertx, CONNECT_TIMEOUT_MILLIS, clocks.monotonicMillis());
     ControlHttpClient client = new ControlHttpClient(vertx, pool);
-    peers = createPeerNetwork(scheduler, clocks.wallMillis().getAsLong(), random);
+    peers = createPeerNetwork(scheduler, startedAtMillis, random);
     PeerSender sender = this::send;
+    overlay = new OverlayRunner(context, state.hosts(), peers, sender, new OverlayListener());
+    statuses = new StatusExchange(context, state, new StatusRelay(self), sender);
     permits =
         new PermitClient(
             sender, (random.nextInt() & FIRST_PERMIT_ID_MASK) << FIRST_PERMIT_ID_SHIFT);
-    schedulers = new EngineSchedulers(context, platform.control(client), sender, state);
+    schedulers = new EngineSchedulers(context, platform.control(client), sender, statuses, state);
     PublishedStore store = platform.store(client, settings.storeAddress());
     follower = new StoreFollower(vertx, store, new StoreStateUpdater(), random);
     forwarder = new Forwarder(context, state, platform.headerTranslator(), pool, permits);
@@ -205,7 +222,7 @@
 
   private void startTasks() {
     Disposable messages = peers.messages().subscribe(this::onMessage);
-    Disposable changes = peers.changes().subscribe(this::onLinkChange);
+    Disposable changes = peers.changes().subscribe(overlay::onLinkChange);
     stopped
         .future()
         .onComplete(
@@ -213,14 +230,15 @@
               messages.dispose();
               changes.dispose();
             });
-    updatePeers();
+    overlay.tick();
     follower.start();
     context
         .vertx()
         .setTimer(
             StartupRequestBuffer.MAXIMUM_WAIT_MILLIS, id -> forwarder.releaseBufferedRequests());
     context.vertx().setPeriodic(TICK_INTERVAL_MILLIS, id -> tick());
-    context.vertx().setPeriodic(HEARTBEAT_INTERVAL_MILLIS, id -> runPeriodicTasks());
+    context.vertx().setPeriodic(RELAY_INTERVAL_MILLIS, id -> statuses.flush());
+    context.vertx().setPeriodic(STATUS_INTERVAL_MILLIS, id -> runPeriodicTasks());
     context
         .log()
         .line(
@@ -235,16 +253,6 @@
             context.settings().storeAddress());
   }
 
-  private void updatePeers() {
-    String ownAddress = context.settings().peerAddress();
-    int port = Integer.parseInt(ownAddress.substring(ownAddress.lastIndexOf(':') + 1));
-    ZoneId zone = new ZoneId(context.settings().zone());
-    peers.updatePeers(
-        state.hosts().hostsToConnect().stream()
-            .map(host -> new PeerAddress(new HostId(host), zone, host, port))
-            .toList());
-  }
-
   private void send(String host, PeerMessage message) {
     peers.send(new HostId(host), message);
   }
@@ -252,67 +260,43 @@
   private void onMessage(ReceivedMessage received) {
     String host = received.sender().host().value();
     PeerMessage message = received.message();
-    if (message instanceof HostHeartbeat heartbeat) {
-      if (!host.equals(context.host())
-          && state.hosts().recordHeartbeat(host, heartbeat, context.now())) {
-        context.log().line("host-heard", "host", host, "zone", heartbeat.zone());
-        updatePeers();
-        broadcastHeartbeat();
-      }
-      if (heartbeat.leaving()) {
-        // The engines of the leaving host need a new owner. The leaving host still serves earlier
-        // permit requests.
-        state.engineSelector().removeHost(host);
-      }
-    } else if (message instanceof EngineStatus status) {
-      state.engineSelector().updateStatus(host, status, context.now());
-      schedulers.updateStatus(host, status);
-    } else if (message instanceof OrderCount count) {
-      schedulers.recordOrderCount(count);
+    if (message instanceof EngineStatuses engineStatuses) {
+      receiveStatuses(engineStatuses);
     } else if (message instanceof PermitRequest request) {
       schedulers.submit(host, request);
     } else if (message instanceof PermitAnswer answer) {
       permits.onAnswer(host, answer);
     } else if (message instanceof PermitReturn permitReturn) {
       schedulers.release(host, permitReturn);
-    }
-  }
-
-  private void onLinkChange(LinkChange change) {
-    String host = change.peer().host().value();
-    context.log().line("link", "peer", host, "up", change.up(), "why", change.failure());
-    if (change.up()) {
-      state.hosts().recordConnection(host, context.now());
-      broadcastHeartbeat();
     } else {
-      state.hosts().markDisconnected(host);
-      permits.removeHost(host);
-      state.engineSelector().removeHost(host);
+      overlay.receive(host, message);
     }
   }
 
-  private void broadcastHeartbeat() {
-    ForwardSettings settings = context.settings();
-    HostHeartbeat heartbeat =
-        new HostHeartbeat(
-            settings.zone(), settings.region(), state.isLeaving(), state.hosts().liveHosts());
-    state.hosts().hostsToConnect().forEach(host -> send(host, heartbeat));
+  private void receiveStatuses(EngineStatuses received) {
+    long now = context.now();
+    for (OwnerStatuses owner : received.owners()) {
+      owner.counts().forEach(schedulers::recordOrderCount);
+      if (!owner.host().equals(context.host())) {
+        owner
+            .statuses()
+            .forEach(
+                status -> {
+                  state.engineSelector().updateStatus(owner.host(), status, now);
+                  schedulers.updateStatus(owner.host(), status);
+                });
+      }
+    }
+    statuses.receive(received);
   }
 
   private void tick() {
+    overlay.tick();
     schedulers.tick();
   }
 
   private void runPeriodicTasks() {
-    for (String host : state.hosts().expire(context.now())) {
-      context.log().line("host-silent", "host", host);
-      schedulers.removeHost(host);
-      permits.removeHost(host);
-      state.engineSelector().removeHost(host);
-    }
-    updatePeers();
-    broadcastHeartbeat();
-    schedulers.broadcastStatus();
+    schedulers.publishStatuses();
     pool.closeExpiredConnections();
     callerServer.closeExpiredConnections();
     operationsServers.forEach(CallerServer::closeExpiredConnections);
@@ -328,8 +312,7 @@
     loop.runOnContext(
         unused -> {
           context.log().line("reload", "seeds", String.join(",", settings.seeds()));
-          state.hosts().addSeeds(settings.seeds().stream().map(HostNames::ofAddress).toList());
-          updatePeers();
+          overlay.addSeeds(settings.seeds().stream().map(HostNames::ofAddress).toList());
         });
   }
 
@@ -350,7 +333,7 @@
     state.setLeaving();
     schedulers.relinquishAll("own-stop");
     callerServer.stop();
-    broadcastHeartbeat();
+    overlay.leave();
     Vertx vertx = context.vertx();
     long endAtMillis =
         context.now() + context.settings().bounds().stopMillis() - EXIT_RESERVE_MILLIS;
@@ -380,6 +363,24 @@
     }
   }
 
+  /** Ends what concerns hosts that are leaving or do not respond. */
+  private final class OverlayListener implements OverlayRunner.Listener {
+
+    @Override
+    public void onLeaving(String host) {
+      // The engines of the leaving host need a new owner. The leaving host still serves earlier
+      // permit requests.
+      state.engineSelector().removeHost(host);
+    }
+
+    @Override
+    public void onEnded(String host) {
+      schedulers.removeHost(host);
+      permits.removeHost(host);
+      state.engineSelector().removeHost(host);
+    }
+  }
+
   /** Applies the contents of the published store to the state of this host. */
   private final class StoreStateUpdater implements StoreListener {
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
@@ -1,8 +1,10 @@
 package org.lentilhinge.runtime.forward;
 
-import org.lentilhinge.permit.EngineStatus;
-import org.lentilhinge.permit.HostHeartbeat;
-import org.lentilhinge.permit.OrderCount;
+import org.lentilhinge.overlay.HostGossip;
+import org.lentilhinge.overlay.HostHeartbeat;
+import org.lentilhinge.overlay.HostProbe;
+import org.lentilhinge.overlay.HostTable;
+import org.lentilhinge.permit.EngineStatuses;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
@@ -15,11 +17,13 @@
 
   static MessageRegistry registry() {
     return new MessageRegistry()
-        .register(1, HostHeartbeat.class)
-        .register(2, EngineStatus.class)
         .register(3, PermitRequest.class)
         .register(4, PermitAnswer.class)
         .register(5, PermitReturn.class)
-        .register(6, OrderCount.class);
+        .register(7, HostHeartbeat.class)
+        .register(8, HostProbe.class)
+        .register(9, HostGossip.class)
+        .register(10, HostTable.class)
+        .register(11, EngineStatuses.class);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -13,8 +13,8 @@
 import org.lentilhinge.forward.RetryBudgetShare;
 import org.lentilhinge.forward.RouteTable;
 import org.lentilhinge.forward.ZoneDistances;
+import org.lentilhinge.overlay.HostOverlay;
 import org.lentilhinge.permit.EngineSelector;
-import org.lentilhinge.permit.HostDirectory;
 import org.lentilhinge.permit.OwnerRanking;
 
 /** One host's current view of the configuration, the endpoints, the engines and other hosts. */
@@ -27,7 +27,7 @@
   private final EndpointRegistry endpoints = new EndpointRegistry();
   private final EndpointScores scores = new EndpointScores();
   private final EngineSelector engineSelector = new EngineSelector();
-  private final HostDirectory hosts;
+  private final HostOverlay hosts;
   private final ZoneDistances distances;
   private final Map<String, RetryBudgetShare> retryBudgetShares = new HashMap<>();
   private final Map<String, Long> adapterVersions = new HashMap<>();
@@ -36,13 +36,13 @@
   private long storeRevision;
   private long revisionReadAtMillis;
   private boolean leaving;
+  private final Map<String, List<String>> ownerRankings = new HashMap<>();
+  private long rankedGeneration = -1;
 
-  HostState(HostContext context) {
+  HostState(HostContext context, HostOverlay hosts) {
     this.context = context;
+    this.hosts = hosts;
     ForwardSettings settings = context.settings();
-    OwnerRanking.Candidate self =
-        new OwnerRanking.Candidate(settings.host(), settings.zone(), settings.region());
-    hosts = new HostDirectory(self, settings.seeds().stream().map(HostNames::ofAddress).toList());
     distances = new ZoneDistances(settings.zone(), settings.region(), settings.zoneRegions());
   }
 
@@ -58,7 +58,7 @@
     return engineSelector;
   }
 
-  HostDirectory hosts() {
+  HostOverlay hosts() {
     return hosts;
   }
 
@@ -154,22 +154,36 @@
 
   /** Returns the hosts that may own an engine, the preferred one first. */
   List<String> ownerRanking(FleetEndpoint engine) {
-    return OwnerRanking.rank(
-        engine.id(), engine.zone(), distances.regionOf(engine.zone()), hosts.candidates(leaving));
+    if (hosts.generation() != rankedGeneration) {
+      rankedGeneration = hosts.generation();
+      ownerRankings.clear();
+    }
+    return ownerRankings.computeIfAbsent(engine.incarnation(), unused -> rankOwners(engine));
+  }
+
+  private List<String> rankOwners(FleetEndpoint engine) {
+    List<OwnerRanking.Candidate> candidates =
+        hosts.candidates().stream()
+            .map(host -> new OwnerRanking.Candidate(host.host(), host.zone(), host.region()))
+            .toList();
+    String region = distances.regionOf(engine.zone());
+    return OwnerRanking.rank(engine.id(), engine.zone(), region, candidates);
   }
 
   /**
    * Returns the host that runs the scheduler of an engine: the host that announced that it runs the
-   * scheduler, or the highest-ranked host whose link is up. A host whose link has failed keeps its
-   * rank until the heartbeat timeout.
+   * scheduler, or else the highest-ranked host. A host that does not respond is passed over, but
+   * keeps its rank until it is lost.
    */
   String schedulerHost(FleetEndpoint engine) {
-    Optional<String> announced = engineSelector.schedulingHost(engine.incarnation(), context.now());
-    return announced.orElseGet(
-        () ->
-            ownerRanking(engine).stream()
-                .filter(hosts::isConnected)
-                .findFirst()
-                .orElse(context.host()));
+    return engineSelector
+        .schedulingHost(engine.incarnation(), context.now())
+        .filter(hosts::isConnected)
+        .orElseGet(
+            () ->
+                ownerRanking(engine).stream()
+                    .filter(hosts::isConnected)
+                    .findFirst()
+                    .orElse(context.host()));
   }
 }
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
@@ -0,0 +1,127 @@
+package org.lentilhinge.runtime.forward;
+
+import java.util.List;
+import java.util.Set;
+import org.lentilhinge.identity.HostId;
+import org.lentilhinge.message.PeerMessage;
+import org.lentilhinge.overlay.HostOverlay;
+import org.lentilhinge.overlay.HostRecord;
+import org.lentilhinge.overlay.OverlayCommand;
+import org.lentilhinge.runtime.peer.LinkChange;
+import org.lentilhinge.runtime.peer.LinkFailure;
+import org.lentilhinge.runtime.peer.PeerAddress;
+import org.lentilhinge.runtime.peer.PeerNetwork;
+
+/** Runs the membership of this host over the peer links, and logs what changes in it. */
+final class OverlayRunner {
+
+  private final HostContext context;
+  private final HostOverlay overlay;
+  private final PeerNetwork peers;
+  private final PeerSender sender;
+  private final Listener listener;
+  private Set<String> linkedHosts = Set.of();
+
+  /** Receives what affects the requests of other hosts. */
+  interface Listener {
+
+    /** The engines of a host need another owner, but the host still answers. */
+    void onLeaving(String host);
+
+    /** All messages and requests in flight to and from a host are void. */
+    void onEnded(String host);
+  }
+
+  OverlayRunner(
+      HostContext context,
+      HostOverlay overlay,
+      PeerNetwork peers,
+      PeerSender sender,
+      Listener listener) {
+    this.context = context;
+    this.overlay = overlay;
+    this.peers = peers;
+    this.sender = sender;
+    this.listener = listener;
+  }
+
+  void receive(String from, PeerMessage message) {
+    execute(overlay.onMessage(from, message, context.now()));
+  }
+
+  void tick() {
+    execute(overlay.onTick(context.now()));
+    updateLinkedHosts();
+  }
+
+  void leave() {
+    execute(overlay.leave());
+  }
+
+  void addSeeds(List<String> names) {
+    overlay.addSeeds(names);
+    updateLinkedHosts();
+  }
+
+  private void updateLinkedHosts() {
+    Set<String> hosts = overlay.addresses();
+    if (hosts.equals(linkedHosts)) {
+      return;
+    }
+    linkedHosts = hosts;
+    String ownAddress = context.settings().peerAddress();
+    int port = Integer.parseInt(ownAddress.substring(ownAddress.lastIndexOf(':') + 1));
+    peers.updatePeers(
+        hosts.stream().map(host -> new PeerAddress(new HostId(host), false, host, port)).toList());
+  }
+
+  /** Handles a change of the link to a host. The end of an idle link says nothing of the host. */
+  void onLinkChange(LinkChange change) {
+    String host = change.peer().host().value();
+    boolean routine =
+        change.failure() == LinkFailure.IDLE || change.failure() == LinkFailure.STOPPED;
+    if (change.up() || routine) {
+      return;
+    }
+    if (overlay.isConnected(host)) {
+      context.log().line("link-lost", "peer", host, "why", change.failure());
+    }
+    overlay.markDisconnected(host);
+    listener.onEnded(host);
+  }
+
+  private void execute(List<OverlayCommand> commands) {
+    for (OverlayCommand command : commands) {
+      if (command instanceof OverlayCommand.Send send) {
+        sender.send(send.host(), send.message());
+      } else if (command instanceof OverlayCommand.Joined joined) {
+        log("host-joined", joined.host());
+        updateLinkedHosts();
+      } else if (command instanceof OverlayCommand.Restarted restarted) {
+        log("host-restarted", restarted.host());
+        listener.onEnded(restarted.host().host());
+      } else if (command instanceof OverlayCommand.Leaving leaving) {
+        log("host-leaving", leaving.host());
+        listener.onLeaving(leaving.host().host());
+      } else if (command instanceof OverlayCommand.Lost lost) {
+        log("host-lost", lost.host());
+        listener.onEnded(lost.host().host());
+      }
+    }
+  }
+
+  private void log(String event, HostRecord host) {
+    context
+        .log()
+        .line(
+            event,
+            "host",
+            host.host(),
+            "zone",
+            host.zone(),
+            "version",
+            host.version(),
+            "live",
+            overlay.liveHosts().size() + 1);
+  }
+}
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -17,6 +17,7 @@
 import org.lentilhinge.permit.EngineOwnership;
 import org.lentilhinge.permit.EngineScheduler;
 import org.lentilhinge.permit.EngineStatus;
+import org.lentilhinge.permit.OrderCount;
 import org.lentilhinge.permit.OrderCounts;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
@@ -60,6 +61,7 @@
   private final HostContext context;
   private final EngineControl control;
   private final PeerSender peers;
+  private final StatusExchange statuses;
   private final HostState state;
   private final FleetEndpoint engine;
   private final EngineScheduler scheduler;
@@ -85,6 +87,7 @@
       HostContext context,
       EngineControl control,
       PeerSender peers,
+      StatusExchange statuses,
       HostState state,
       FleetEndpoint engine,
       EngineScheduler scheduler,
@@ -93,6 +96,7 @@
     this.context = context;
     this.control = control;
     this.peers = peers;
+    this.statuses = statuses;
     this.state = state;
     this.engine = engine;
     this.scheduler = scheduler;
@@ -254,15 +258,15 @@
       scheduler.setCanOrderIn(ownership.remainingTakeoverMillis(rank, now));
     }
     if (acquired || reason.equals(FIRST_READ)) {
-      broadcastStatus();
+      publishStatus();
     }
     execute(scheduler.decide(now));
     checkAwaitingOrders(report);
     sendNextOrder();
   }
 
-  /** Sends the engine's count of accepted orders and the age of that count to all hosts. */
-  void broadcastOrderCount() {
+  /** Returns the engine's count of accepted orders and its age, or empty if it is not known. */
+  Optional<OrderCount> orderCount() {
     long now = context.now();
     if (ownership.isOwner()) {
       counts.recordCount(
@@ -270,15 +274,11 @@
           ownership.expectedOrderCount().orElse(0),
           ownership.unchangedSinceMillis());
     }
-    counts
-        .highestCount(engine.incarnation(), now)
-        .ifPresent(count -> state.hosts().liveHosts().forEach(host -> peers.send(host, count)));
+    return counts.highestCount(engine.incarnation(), now);
   }
 
-  private void broadcastStatus() {
-    EngineStatus status = status();
-    state.hosts().liveHosts().forEach(host -> peers.send(host, status));
-    state.engineSelector().updateStatus(context.host(), status, context.now());
+  private void publishStatus() {
+    statuses.publish(List.of(status()), orderCount().stream().toList());
   }
 
   private void execute(List<EngineCommand> commands) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/host/HostComponents.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/host/HostComponents.java
@@ -122,7 +122,8 @@
     loop.setCommandHandler(commandExecutor);
     RequestIdGenerator requests = new RequestIdGenerator(self);
     bookings = createBookingDispatcher(requests);
-    hostListPoller = new HostListPoller(loop, hostList(platform), seeds, peers);
+    hostListPoller =
+        new HostListPoller(loop, hostList(platform), settings.host().zone(), seeds, peers);
     listener =
         new HostFollowListener(
             loop,
--- a/runtime/src/main/java/org/lentilhinge/runtime/host/HostListPoller.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/host/HostListPoller.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.lentilhinge.host.HostEvent;
 import org.lentilhinge.identity.EndpointId;
+import org.lentilhinge.identity.ZoneId;
 import org.lentilhinge.membership.ListedHost;
 import org.lentilhinge.runtime.engine.Addresses;
 import org.lentilhinge.runtime.peer.PeerAddress;
@@ -22,14 +23,20 @@
 
   private final HostEventLoop loop;
   private final Optional<HostList> hostList;
+  private final ZoneId zone;
   private final List<ListedHost> seeds;
   private final PeerNetwork peers;
   private List<ListedHost> connectedHosts = List.of();
   private boolean readInProgress;
 
   HostListPoller(
-      HostEventLoop loop, Optional<HostList> hostList, List<ListedHost> seeds, PeerNetwork peers) {
+      HostEventLoop loop,
+      Optional<HostList> hostList,
+      ZoneId zone,
+      List<ListedHost> seeds,
+      PeerNetwork peers) {
     this.loop = loop;
+    this.zone = zone;
     this.hostList = hostList;
     this.seeds = seeds;
     this.peers = peers;
@@ -96,8 +103,10 @@
     return addresses;
   }
 
-  private static PeerAddress addressOf(ListedHost host) {
+  /** Returns the address of a host; links within the zone are kept open. */
+  private PeerAddress addressOf(ListedHost host) {
     HostAndPort address = Addresses.parse(host.address());
-    return new PeerAddress(host.host(), host.zone(), address.host(), address.port());
+    boolean persistent = host.zone().equals(zone);
+    return new PeerAddress(host.host(), persistent, address.host(), address.port());
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/peer/IncomingLink.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/peer/IncomingLink.java
@@ -103,7 +103,9 @@
   /** Closes the connection if it has been silent for too long or its handshake timed out. */
   void tick() {
     long nowMillis = environment.now();
-    if (established && nowMillis - lastReceivedAtMillis > timings.silenceTimeoutMillis()) {
+    // A peer that opened the link on demand sends nothing, not even pings, while it is idle.
+    long silenceMillis = timings.idleTimeoutMillis() + timings.silenceTimeoutMillis();
+    if (established && nowMillis - lastReceivedAtMillis > silenceMillis) {
       stream.end(LinkFailure.SILENT);
     } else if (!established && nowMillis - openedAtMillis > timings.handshakeTimeoutMillis()) {
       stream.end(LinkFailure.HANDSHAKE_TIMEOUT);
--- a/runtime/src/main/java/org/lentilhinge/runtime/peer/OutgoingLink.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/peer/OutgoingLink.java
@@ -9,9 +9,9 @@
 import org.lentilhinge.identity.HostIncarnation;
 
 /**
- * The link on which this host sends messages to one peer. A link within the host's own zone is kept
- * open; a link to another zone is opened on demand and closed when idle. A connection whose peer
- * stops responding to pings is replaced.
+ * The link on which this host sends messages to one peer. A persistent link is kept open and pinged
+ * all the time; any other is opened on demand, pinged after it was used, and closed when idle. A
+ * connection whose peer stops responding to pings is replaced.
  */
 final class OutgoingLink {
 
@@ -39,11 +39,16 @@
   private long lastPongAtMillis;
   private long lastSendAtMillis;
 
+  /** Whether a message was sent after the last ping, so that a further ping is due. */
+  private boolean usedSincePing;
+
+  private boolean pingOutstanding;
+
   OutgoingLink(PeerAddress peer, LinkEnvironment environment) {
     this.peer = peer;
     this.environment = environment;
     timings = environment.settings().timings();
-    persistent = peer.zone().equals(environment.settings().zone());
+    persistent = peer.persistent();
   }
 
   PeerAddress peer() {
@@ -71,17 +76,29 @@
   }
 
   private void probe() {
-    if (environment.now() - lastPongAtMillis > timings.silenceTimeoutMillis()) {
+    long now = environment.now();
+    boolean pinged = persistent || pingOutstanding;
+    if (pinged && now - lastPongAtMillis > timings.silenceTimeoutMillis()) {
       fail(LinkFailure.SILENT);
-    } else if (!persistent && environment.now() - lastSendAtMillis > timings.idleTimeoutMillis()) {
+    } else if (!persistent && now - lastSendAtMillis > timings.idleTimeoutMillis()) {
       requested = false;
       fail(LinkFailure.IDLE);
-    } else if (nextPingAtMillis <= environment.now()) {
-      nextPingAtMillis = environment.now() + timings.pingIntervalMillis();
-      stream.ifPresent(frames -> frames.send(FrameKind.PING, new byte[0]));
+    } else if (nextPingAtMillis <= now && (persistent || usedSincePing || pingOutstanding)) {
+      ping(now);
     }
   }
 
+  private void ping(long now) {
+    nextPingAtMillis = now + timings.pingIntervalMillis();
+    if (!persistent && !pingOutstanding) {
+      // The silence counts from the first ping without a response.
+      lastPongAtMillis = Math.max(lastPongAtMillis, now - timings.pingIntervalMillis());
+      pingOutstanding = true;
+    }
+    usedSincePing = false;
+    stream.ifPresent(frames -> frames.send(FrameKind.PING, new byte[0]));
+  }
+
   private void dial() {
     connecting = true;
     generation++;
@@ -123,6 +140,7 @@
       receiveWelcome(environment.authenticator().readWelcome(payload));
     } else if (kind == FrameKind.PONG && establishedPeer.isPresent()) {
       lastPongAtMillis = environment.now();
+      pingOutstanding = false;
       failures = 0;
     } else {
       throw new MessageFormatException("unexpected " + kind + " from " + peer.host());
@@ -156,6 +174,8 @@
     lastPongAtMillis = environment.now();
     lastSendAtMillis = environment.now();
     nextPingAtMillis = environment.now();
+    pingOutstanding = false;
+    usedSincePing = true;
     environment.metrics().recordLinkUp();
     environment
         .listener()
@@ -166,11 +186,13 @@
 
   /**
    * Sends a message, or queues it while the connection is being established or its write queue is
-   * full. Returns false if the message was dropped because the link is down or the queue is full.
+   * full. Returns false if the message was dropped because the link is down or the queue is full,
+   * which is also reported as a change of the link.
    */
   boolean send(byte[] message) {
     lastSendAtMillis = environment.now();
     requested = true;
+    usedSincePing = true;
     tick();
     boolean canSend =
         establishedPeer.isPresent() && queue.isEmpty() && !stream.orElseThrow().isFull();
@@ -181,6 +203,7 @@
     boolean canQueue = establishedPeer.isPresent() || connecting;
     if (!canQueue || queue.size() >= environment.settings().maximumQueuedFrames()) {
       environment.metrics().recordDropped(1);
+      reportUndelivered(LinkFailure.UNREACHABLE);
       return false;
     }
     queue.add(message);
@@ -210,6 +233,7 @@
     stream = Optional.empty();
     environment.metrics().recordEnded(failure);
     environment.metrics().recordDropped(queue.size());
+    boolean undelivered = !queue.isEmpty();
     queue.clear();
     nextDialAtMillis = environment.now() + backoffMillis();
     failures++;
@@ -219,9 +243,16 @@
     if (previous.isPresent()) {
       environment.metrics().recordLinkDown();
       environment.listener().onLinkChange(new LinkChange(previous.get(), false, failure));
+    } else if (undelivered) {
+      reportUndelivered(failure);
     }
   }
 
+  private void reportUndelivered(LinkFailure failure) {
+    HostIncarnation unknown = new HostIncarnation(peer.host(), 0);
+    environment.listener().onLinkChange(new LinkChange(unknown, false, failure));
+  }
+
   /** Skips the rest of the backoff and connects immediately. */
   void retryNow() {
     if (!connecting && establishedPeer.isEmpty()) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/peer/PeerAddress.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/peer/PeerAddress.java
@@ -1,14 +1,14 @@
 package org.lentilhinge.runtime.peer;
 
 import org.lentilhinge.identity.HostId;
-import org.lentilhinge.identity.ZoneId;
 
 /**
  * The address at which an entry host accepts links.
  *
  * @param host the host
- * @param zone its availability zone
+ * @param persistent whether the link is kept open; otherwise it is opened when a message is sent
+ *     and closed when it is idle
  * @param address its IP address
  * @param port its port
  */
-public record PeerAddress(HostId host, ZoneId zone, String address, int port) {}
+public record PeerAddress(HostId host, boolean persistent, String address, int port) {}
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.lentilhinge.fleet.EndpointState;
@@ -21,6 +22,8 @@
 import org.lentilhinge.forward.ForwardService;
 import org.lentilhinge.forward.RequestKind;
 import org.lentilhinge.forward.ServiceShare;
+import org.lentilhinge.overlay.HostOverlay;
+import org.lentilhinge.overlay.HostRecord;
 
 /** A server for callers and a forwarder on real sockets, with scripted endpoints. */
 final class ForwardFixture implements AutoCloseable {
@@ -51,7 +54,7 @@
             () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
             new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
             new MetricRegistry());
-    state = new HostState(context);
+    state = new HostState(context, overlay(settings()));
     EndpointPool pool = new EndpointPool(vertx, 1_000, context.clock());
     PermitClient permits = new PermitClient((host, message) -> {}, 0);
     forwarder = new Forwarder(context, state, new PlainHeaderTranslator(), pool, permits);
@@ -115,6 +118,14 @@
     return endpoints;
   }
 
+  /** Returns the membership of a host that knows only its seeds. */
+  static HostOverlay overlay(ForwardSettings settings) {
+    HostRecord self =
+        new HostRecord(settings.host(), settings.zone(), settings.region(), 1, 1, false);
+    List<String> seeds = settings.seeds().stream().map(HostNames::ofAddress).toList();
+    return new HostOverlay(self, seeds, new Random(1));
+  }
+
   /** Returns the settings of a host on the loopback interface. */
   static ForwardSettings settings() {
     return new ForwardSettings(
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/HostStateTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/HostStateTest.java
@@ -13,8 +13,9 @@
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.ForwardConfiguration;
 import org.lentilhinge.forward.ForwardLimits;
+import org.lentilhinge.overlay.HostHeartbeat;
+import org.lentilhinge.overlay.HostRecord;
 import org.lentilhinge.permit.EngineStatus;
-import org.lentilhinge.permit.HostHeartbeat;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
@@ -51,7 +52,13 @@
             0,
             new ForwardSettings.Bounds(8_000, 3_000, 0.2, 56, 10_000));
     EventLog log = new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0);
-    return new HostState(new HostContext(vertx, settings, () -> 100, log, new MetricRegistry()));
+    HostContext context = new HostContext(vertx, settings, () -> 100, log, new MetricRegistry());
+    return new HostState(context, ForwardFixture.overlay(settings));
+  }
+
+  private static void receiveHeartbeat(HostState state, String zone, String region, int version) {
+    HostRecord sender = new HostRecord("10.0.0.2", zone, region, 1, version, false);
+    state.hosts().onMessage("10.0.0.2", new HostHeartbeat(sender, 0, true), 100);
   }
 
   private static ForwardConfiguration configuration(long version) {
@@ -60,7 +67,7 @@
 
   private static FleetEndpoint engine(String zone) {
     return new FleetEndpoint(
-        "e", 1, "s", "10.0.9.9:80", zone, EndpointState.READY, 0, 1, List.of("m"));
+        "e-" + zone, 1, "s", "10.0.9.9:80", zone, EndpointState.READY, 0, 1, List.of("m"));
   }
 
   @Test
@@ -78,12 +85,10 @@
   @Test
   public void hostInEngineZoneRunsSchedulerUntilAnotherAnnouncesOwnership() {
     HostState state = state();
-    state
-        .hosts()
-        .recordHeartbeat("10.0.0.2", new HostHeartbeat("b", "south", false, List.of()), 100);
+    receiveHeartbeat(state, "b", "south", 1);
     assertEquals(state.schedulerHost(engine("a")), "10.0.0.1");
     assertEquals(state.schedulerHost(engine("b")), "10.0.0.2");
-    EngineStatus status = new EngineStatus("e/1", true, List.of(), 0, 6, 0);
+    EngineStatus status = new EngineStatus("e-a/1", true, List.of(), 0, 6, 0);
     state.engineSelector().updateStatus("10.0.0.2", status, 100);
     assertEquals(state.schedulerHost(engine("a")), "10.0.0.2");
   }
@@ -91,22 +96,19 @@
   @Test
   public void leavingHostIsNotSelected() {
     HostState state = state();
-    state
-        .hosts()
-        .recordHeartbeat("10.0.0.2", new HostHeartbeat("a", "north", false, List.of()), 100);
-    state.setLeaving();
+    receiveHeartbeat(state, "a", "north", 1);
+    state.hosts().leave();
     assertEquals(state.schedulerHost(engine("a")), "10.0.0.2");
   }
 
   @Test
   public void disconnectedHostIsNotSelectedButKeepsItsRank() {
     HostState state = state();
-    HostHeartbeat heartbeat = new HostHeartbeat("b", "south", false, List.of());
-    state.hosts().recordHeartbeat("10.0.0.2", heartbeat, 100);
+    receiveHeartbeat(state, "b", "south", 1);
     state.hosts().markDisconnected("10.0.0.2");
     assertEquals(state.schedulerHost(engine("b")), "10.0.0.1");
     assertEquals(state.ownerRanking(engine("b")).get(0), "10.0.0.2");
-    state.hosts().recordHeartbeat("10.0.0.2", heartbeat, 150);
+    receiveHeartbeat(state, "b", "south", 1);
     assertEquals(state.schedulerHost(engine("b")), "10.0.0.2");
   }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineRunnerTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineRunnerTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.lentilhinge.fleet.EndpointState;
 import org.lentilhinge.fleet.FleetEndpoint;
+import org.lentilhinge.overlay.HostRecord;
 import org.lentilhinge.permit.AdapterOrder;
 import org.lentilhinge.permit.EngineScheduler;
 import org.lentilhinge.permit.EngineStatus;
@@ -24,6 +25,7 @@
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.SchedulerSettings;
+import org.lentilhinge.permit.StatusRelay;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
 
@@ -77,7 +79,8 @@
             now::get,
             new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
             new MetricRegistry());
-    private final HostState state = new HostState(context);
+    private final HostState state =
+        new HostState(context, ForwardFixture.overlay(ForwardFixture.settings()));
 
     Fixture() {
       state.recordRevision(5);
@@ -89,7 +92,10 @@
           };
       EngineScheduler scheduler =
           new EngineScheduler(new SchedulerSettings(64, 100_000, 6, 4, 120), "m", true, 22);
-      runner = new OwnedEngineRunner(context, this, peers, state, ENGINE, scheduler, counts);
+      HostRecord self = new HostRecord("10.0.0.1", "a", "north", 1, 1, false);
+      StatusExchange statuses = new StatusExchange(context, state, new StatusRelay(self), peers);
+      runner =
+          new OwnedEngineRunner(context, this, peers, statuses, state, ENGINE, scheduler, counts);
     }
 
     /** Advances the clock by twice the lease with an unchanged order count. */
--- a/runtime/src/test/java/org/lentilhinge/runtime/peer/PeerFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/peer/PeerFixture.java
@@ -65,7 +65,7 @@
   }
 
   static PeerAddress address(String name, int port) {
-    return new PeerAddress(new HostId(name), ZONE, "127.0.0.1", port);
+    return new PeerAddress(new HostId(name), true, "127.0.0.1", port);
   }
 
   /** Passes the addresses of all members to each member. */
