One host of each zone reads the store and tells the others

The calls grow with the hosts, and the listing crosses regions 47 times a second.

Change: the reader of a zone (rendezvous over its hosts) lists and long-polls; it sends changes with a digest of the whole listing, and declarations with the revision that they follow. A host whose listing does not match, whose revision leaves a gap, or that hears nothing for 1.5 s reads for itself. Failed listings back off like other reads (known fault). An own read of the store still precedes each takeover, because a relayed revision may be older than it looks.

Ruled out: telling hosts only that something changed, each of which then reads (95 calls for each server that joins or leaves); whole listings by peers (1 MB a second from a reader at 300 hosts); stale reads (seconds old, against a bound of three).

--- a/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
@@ -24,15 +24,6 @@
 
   private static final long HEARTBEAT_INTERVAL_MILLIS = 300;
 
-  /** The silence after which a watched host is probed: three heartbeats, in milliseconds. */
-  private static final long SILENCE_MILLIS = 900;
-
-  /** The time for the response to a probe over a link that may have to be opened first. */
-  private static final long PROBE_TIMEOUT_MILLIS = 500;
-
-  /** The time for a refutation to arrive by gossip, in milliseconds. */
-  private static final long REFUTATION_MILLIS = 600;
-
   /** The interval of attempts to contact a seed or a lost host, in milliseconds. */
   private static final long CONTACT_INTERVAL_MILLIS = 1_000;
 
@@ -56,9 +47,7 @@
   private final Random random;
   private final HostView view = new HostView();
   private final Set<String> disconnected = new HashSet<>();
-  private final Map<String, Long> watchedSinceMillis = new HashMap<>();
-  private final Map<String, Long> probedAtMillis = new TreeMap<>();
-  private final Map<String, Long> suspectedAtMillis = new TreeMap<>();
+  private final FailureDetector detector = new FailureDetector();
   private final Map<String, Long> tableSentAtMillis = new HashMap<>();
   private final Map<String, Integer> differingHeartbeats = new HashMap<>();
   private final Map<String, HostRecord> recordsToGossip = new TreeMap<>();
@@ -123,11 +112,7 @@
     String host = heartbeat.sender().host();
     boolean unknown = view.find(host).isEmpty();
     recordContact(heartbeat.sender(), nowMillis, commands);
-    if (heartbeat.watched()) {
-      watchedSinceMillis.put(host, nowMillis);
-    } else {
-      watchedSinceMillis.remove(host);
-    }
+    detector.setWatched(host, heartbeat.watched(), nowMillis);
     if (heartbeat.digest() == digest()) {
       differingHeartbeats.remove(host);
     } else if (unknown
@@ -141,11 +126,7 @@
     String host = sender.host();
     merge(sender, commands, new ArrayList<>());
     disconnected.remove(host);
-    probedAtMillis.remove(host);
-    if (watchedSinceMillis.containsKey(host)) {
-      watchedSinceMillis.put(host, nowMillis);
-    }
-    if (suspectedAtMillis.remove(host) != null) {
+    if (detector.recordContact(host, nowMillis)) {
       HostSuspicion suspicion = new HostSuspicion(host, sender.version());
       send(host, new HostGossip(List.of(), List.of(suspicion)), commands);
     }
@@ -200,7 +181,7 @@
       return;
     }
     view.put(entry);
-    suspectedAtMillis.remove(entry.host());
+    detector.clearSuspicion(entry.host());
     recordsToGossip.put(entry.host(), entry);
     reportChange(known, entry, commands);
   }
@@ -237,7 +218,7 @@
         view.find(suspicion.host())
             .filter(known -> known.version() <= suspicion.version())
             .isPresent();
-    if (concerned && suspectedAtMillis.putIfAbsent(suspicion.host(), nowMillis) == null) {
+    if (concerned && detector.suspect(suspicion.host(), nowMillis)) {
       suspicionsToGossip.put(suspicion.host(), suspicion);
     }
   }
@@ -265,13 +246,20 @@
     List<OverlayCommand> commands = new ArrayList<>();
     if (lastTickAtMillis != Long.MIN_VALUE
         && nowMillis - lastTickAtMillis > MAXIMUM_TICK_GAP_MILLIS) {
-      excuseSilence(nowMillis);
+      detector.excuseSilence(nowMillis);
     }
     lastTickAtMillis = nowMillis;
     view.forgetLost(nowMillis);
-    loseSuspected(nowMillis, commands);
-    suspectUnresponsive(nowMillis);
-    probeSilent(nowMillis, commands);
+    for (String host : detector.removeUnrefuted(nowMillis)) {
+      view.find(host).ifPresent(lostHost -> lose(lostHost, nowMillis, commands));
+    }
+    for (String host : detector.removeUnresponsive(nowMillis)) {
+      view.find(host)
+          .map(silent -> new HostSuspicion(host, silent.version()))
+          .ifPresent(suspicion -> onSuspicion(suspicion, nowMillis));
+    }
+    detector.silentHosts(nowMillis).forEach(host -> probe(host, nowMillis, commands));
+    disconnected.forEach(host -> probe(host, nowMillis, commands));
     if (neighborsOutdated) {
       updateNeighbors(nowMillis, commands);
     }
@@ -291,26 +279,9 @@
     return commands;
   }
 
-  /** After a pause of this process, the silence of the others counts from now. */
-  private void excuseSilence(long nowMillis) {
-    watchedSinceMillis.replaceAll((host, since) -> nowMillis);
-    probedAtMillis.clear();
-    suspectedAtMillis.replaceAll((host, since) -> nowMillis);
-  }
-
-  private void loseSuspected(long nowMillis, List<OverlayCommand> commands) {
-    for (Map.Entry<String, Long> suspect : Map.copyOf(suspectedAtMillis).entrySet()) {
-      if (nowMillis - suspect.getValue() >= REFUTATION_MILLIS) {
-        suspectedAtMillis.remove(suspect.getKey());
-        view.find(suspect.getKey()).ifPresent(host -> lose(host, nowMillis, commands));
-      }
-    }
-  }
-
   private void lose(HostRecord host, long nowMillis, List<OverlayCommand> commands) {
     view.lose(host, nowMillis);
-    watchedSinceMillis.remove(host.host());
-    probedAtMillis.remove(host.host());
+    detector.remove(host.host());
     disconnected.remove(host.host());
     differingHeartbeats.remove(host.host());
     tableSentAtMillis.remove(host.host());
@@ -319,30 +290,8 @@
     commands.add(new OverlayCommand.Lost(host));
   }
 
-  private void suspectUnresponsive(long nowMillis) {
-    for (Map.Entry<String, Long> probe : Map.copyOf(probedAtMillis).entrySet()) {
-      if (nowMillis - probe.getValue() >= PROBE_TIMEOUT_MILLIS) {
-        probedAtMillis.remove(probe.getKey());
-        view.find(probe.getKey())
-            .ifPresent(
-                host -> onSuspicion(new HostSuspicion(host.host(), host.version()), nowMillis));
-      }
-    }
-  }
-
-  private void probeSilent(long nowMillis, List<OverlayCommand> commands) {
-    watchedSinceMillis.forEach(
-        (host, since) -> {
-          if (nowMillis - since > SILENCE_MILLIS) {
-            probe(host, nowMillis, commands);
-          }
-        });
-    disconnected.forEach(host -> probe(host, nowMillis, commands));
-  }
-
   private void probe(String host, long nowMillis, List<OverlayCommand> commands) {
-    boolean idle = !suspectedAtMillis.containsKey(host) && view.find(host).isPresent();
-    if (idle && probedAtMillis.putIfAbsent(host, nowMillis) == null) {
+    if (view.find(host).isPresent() && detector.startProbe(host, nowMillis)) {
       send(host, new HostProbe(self), commands);
     }
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/AdapterRelease.java
+++ b/core/src/main/java/org/lentilhinge/published/AdapterRelease.java
@@ -1,4 +1,4 @@
-package org.lentilhinge.runtime.forward;
+package org.lentilhinge.published;
 
 /**
  * An announced version of an adapter.
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointListing.java
+++ b/core/src/main/java/org/lentilhinge/published/EndpointListing.java
@@ -1,4 +1,4 @@
-package org.lentilhinge.runtime.forward;
+package org.lentilhinge.published;
 
 import java.util.List;
 import org.lentilhinge.fleet.FleetEndpoint;
--- /dev/null
+++ b/core/src/test/java/org/lentilhinge/published/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of following what the platform publishes. */
+package org.lentilhinge.published;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -29,6 +29,11 @@
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
 import org.lentilhinge.permit.StatusRelay;
+import org.lentilhinge.published.AdapterRelease;
+import org.lentilhinge.published.DeclarationNews;
+import org.lentilhinge.published.DeclaredState;
+import org.lentilhinge.published.EndpointListing;
+import org.lentilhinge.published.ListingNews;
 import org.lentilhinge.runtime.metric.MetricExposition;
 import org.lentilhinge.runtime.peer.MessageCodec;
 import org.lentilhinge.runtime.peer.PeerMetrics;
@@ -131,7 +136,11 @@
             sender, (random.nextInt() & FIRST_PERMIT_ID_MASK) << FIRST_PERMIT_ID_SHIFT);
     schedulers = new EngineSchedulers(context, platform.control(client), sender, statuses, state);
     PublishedStore store = platform.store(client, settings.storeAddress());
-    follower = new StoreFollower(vertx, store, new StoreStateUpdater(), random);
+    ZoneReader zoneReader = new ZoneReader(context, state, sender);
+    follower =
+        new StoreFollower(
+            vertx, context.clock(), store, new StoreStateUpdater(), zoneReader, random);
+    state.setRevisionReader(follower::requestRead);
     forwarder = new Forwarder(context, state, platform.headerTranslator(), pool, permits);
     callerServer = createServer(settings.callerAddress(), forwarder::accept);
     operationsServers = createOperationsServers(settings);
@@ -268,6 +277,10 @@
       permits.onAnswer(host, answer);
     } else if (message instanceof PermitReturn permitReturn) {
       schedulers.release(host, permitReturn);
+    } else if (message instanceof ListingNews news) {
+      follower.receive(news);
+    } else if (message instanceof DeclarationNews news) {
+      follower.receive(news);
     } else {
       overlay.receive(host, message);
     }
@@ -386,13 +399,17 @@
 
     private boolean listingFailed;
 
+    @Override
+    public void onRead(long revision) {
+      state.recordRevision(revision);
+    }
+
     @Override
     public void onListing(EndpointListing listing) {
       if (listingFailed) {
         listingFailed = false;
         context.log().line("store-regained", "reading", "endpoints");
       }
-      state.recordRevision(listing.revision());
       for (FleetChange change :
           state.endpoints().updateFromListing(listing.endpoints(), context.now())) {
         applyChange(change);
@@ -426,7 +443,6 @@
 
     @Override
     public void onDeclaredState(DeclaredState declared) {
-      state.recordRevision(declared.revision());
       declared.configuration().ifPresent(this::applyConfiguration);
       for (AdapterRelease release : declared.releases()) {
         if (state.recordRelease(release)) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
@@ -8,6 +8,8 @@
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
+import org.lentilhinge.published.DeclarationNews;
+import org.lentilhinge.published.ListingNews;
 import org.lentilhinge.runtime.peer.MessageRegistry;
 
 /** The tags of the messages of the forwarding path. A tag is never reused for another type. */
@@ -24,6 +26,8 @@
         .register(8, HostProbe.class)
         .register(9, HostGossip.class)
         .register(10, HostTable.class)
-        .register(11, EngineStatuses.class);
+        .register(11, EngineStatuses.class)
+        .register(12, ListingNews.class)
+        .register(13, DeclarationNews.class);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -16,6 +16,7 @@
 import org.lentilhinge.overlay.HostOverlay;
 import org.lentilhinge.permit.EngineSelector;
 import org.lentilhinge.permit.OwnerRanking;
+import org.lentilhinge.published.AdapterRelease;
 
 /** One host's current view of the configuration, the endpoints, the engines and other hosts. */
 final class HostState {
@@ -35,6 +36,7 @@
   private RouteTable routes = new RouteTable(List.of());
   private long storeRevision;
   private long revisionReadAtMillis;
+  private Runnable revisionReader = () -> {};
   private boolean leaving;
   private final Map<String, List<String>> ownerRankings = new HashMap<>();
   private long rankedGeneration = -1;
@@ -132,6 +134,17 @@
     }
   }
 
+  void setRevisionReader(Runnable reader) {
+    revisionReader = reader;
+  }
+
+  /** Has this host read the store itself, unless its last own read is still fresh. */
+  void requestFreshRevision() {
+    if (freshRevision() == 0) {
+      revisionReader.run();
+    }
+  }
+
   /**
    * Returns the newest revision of the store if this host has read it recently, or else 0. A
    * revision that was read within the length of the lease is not older than the revision of any
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -53,6 +53,9 @@
    */
   private static final long REPEAT_WINDOW_MILLIS = 330;
 
+  /** The time before a possible takeover at which a fresh revision is read, in milliseconds. */
+  private static final long REVISION_LEAD_MILLIS = 300;
+
   /** The time after which an order that is not complete counts as failed, in milliseconds. */
   private static final long ORDER_TIMEOUT_MILLIS = 10_000;
 
@@ -179,7 +182,11 @@
     }
     int rank = state.ownerRanking(engine).indexOf(context.host());
     if (!ownership.isOwner() && rank >= 0) {
-      scheduler.setCanOrderIn(ownership.remainingTakeoverMillis(rank, context.now()));
+      long remainingMillis = ownership.remainingTakeoverMillis(rank, context.now());
+      scheduler.setCanOrderIn(remainingMillis);
+      if (remainingMillis <= REVISION_LEAD_MILLIS) {
+        state.requestFreshRevision();
+      }
       if (ownership.isTakeoverDue(rank, context.now())
           && context.now() - lastReadAtMillis >= READ_INTERVAL_MILLIS) {
         readReport("take");
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/PublishedStore.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/PublishedStore.java
@@ -1,6 +1,8 @@
 package org.lentilhinge.runtime.forward;
 
 import io.vertx.core.Future;
+import org.lentilhinge.published.DeclaredState;
+import org.lentilhinge.published.EndpointListing;
 
 /** Reads the data published by operators and endpoints. Calls are not retried. */
 public interface PublishedStore {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
@@ -1,14 +1,21 @@
 package org.lentilhinge.runtime.forward;
 
 import io.vertx.core.Vertx;
+import java.util.Optional;
 import java.util.Random;
+import java.util.function.LongSupplier;
+import org.lentilhinge.message.PeerMessage;
+import org.lentilhinge.published.DeclarationNews;
+import org.lentilhinge.published.DeclaredState;
+import org.lentilhinge.published.EndpointListing;
+import org.lentilhinge.published.KnownListing;
+import org.lentilhinge.published.ListingNews;
+import org.lentilhinge.published.ReadSchedule;
 
 /**
- * Follows the published store. All endpoints are listed at a fixed interval, which bounds the age
- * of the listing as well as the cost, independently of the number of heartbeats. Changes of the
- * operators' declarations are awaited by long polling, so that a change is detected immediately.
- * Failed reads of the declarations are retried with exponential backoff, and a failed listing after
- * half of the interval.
+ * Follows the published store. The reader of a zone lists all endpoints at a fixed interval and
+ * awaits changes of the operators' declarations by long polling; it sends what has changed to the
+ * other hosts of its zone, which read for themselves while they receive nothing.
  */
 final class StoreFollower {
 
@@ -19,93 +26,146 @@
   private static final long LISTING_INTERVAL_MILLIS = 1_000;
 
   /**
-   * The long-polling timeout for changes of the declarations, in milliseconds. Bounds the delay
-   * that an unresponsive connection can cause.
+   * The long-polling timeout for changes of the declarations, in milliseconds. Bounds the interval
+   * of news to the other hosts, and the delay that an unresponsive connection can cause.
    */
-  private static final long LONG_POLL_TIMEOUT_MILLIS = 2_000;
+  private static final long LONG_POLL_TIMEOUT_MILLIS = 1_000;
 
-  /**
-   * The first backoff after a failure, in milliseconds. The backoff limits the load on a failing
-   * store, and stays short enough for changes to arrive in time.
-   */
-  private static final long MINIMUM_BACKOFF_MILLIS = 100;
-
-  /** The longest backoff after repeated failures, in milliseconds. */
-  private static final long MAXIMUM_BACKOFF_MILLIS = 800;
+  /** The interval at which due reads are started, in milliseconds. */
+  private static final long CHECK_INTERVAL_MILLIS = 50;
 
   private final Vertx vertx;
+  private final LongSupplier clock;
   private final PublishedStore store;
   private final StoreListener listener;
-  private final Random random;
+  private final ZoneReader zone;
+  private final ReadSchedule listingSchedule;
+  private final ReadSchedule declarationSchedule;
+  private final KnownListing knownListing = new KnownListing();
   private long revision = -1;
-  private int failures;
+  private boolean readAll = true;
   private boolean stopped;
 
-  StoreFollower(Vertx vertx, PublishedStore store, StoreListener listener, Random random) {
+  StoreFollower(
+      Vertx vertx,
+      LongSupplier clock,
+      PublishedStore store,
+      StoreListener listener,
+      ZoneReader zone,
+      Random random) {
     this.vertx = vertx;
+    this.clock = clock;
     this.store = store;
     this.listener = listener;
-    this.random = random;
+    this.zone = zone;
+    listingSchedule = new ReadSchedule(LISTING_INTERVAL_MILLIS, random);
+    declarationSchedule = new ReadSchedule(0, random);
   }
 
   void start() {
-    listEndpoints();
-    followDeclaredState();
+    vertx.setPeriodic(CHECK_INTERVAL_MILLIS, id -> startDueReads());
+    startDueReads();
   }
 
   void stop() {
     stopped = true;
   }
 
-  private void listEndpoints() {
+  /** Requests a read of this host's own, whose revision is not older than its response. */
+  void requestRead() {
+    listingSchedule.request();
+  }
+
+  private void startDueReads() {
     if (stopped) {
       return;
     }
+    long now = clock.getAsLong();
+    if (listingSchedule.isDue(zone.isReader(), now)) {
+      listEndpoints();
+    }
+    if (declarationSchedule.isDue(zone.isReader(), now)) {
+      followDeclaredState();
+    }
+  }
+
+  private void listEndpoints() {
+    listingSchedule.recordStart();
     store
         .listEndpoints()
-        .onComplete(
-            result -> {
-              if (result.succeeded()) {
-                listener.onListing(result.result());
-              } else {
-                listener.onFailure("endpoints", String.valueOf(result.cause().getMessage()));
-              }
-              long delay =
-                  result.succeeded() ? LISTING_INTERVAL_MILLIS : LISTING_INTERVAL_MILLIS / 2;
-              vertx.setTimer(jittered(delay), id -> listEndpoints());
+        .onSuccess(this::onListing)
+        .onFailure(
+            failure -> {
+              listingSchedule.recordFailure(clock.getAsLong());
+              listener.onFailure("endpoints", String.valueOf(failure.getMessage()));
             });
   }
 
-  private void followDeclaredState() {
-    if (stopped) {
-      return;
+  private void onListing(EndpointListing listing) {
+    listingSchedule.recordSuccess(clock.getAsLong());
+    listener.onRead(listing.revision());
+    Optional<ListingNews> news = knownListing.replace(listing);
+    if (news.isPresent()) {
+      listener.onListing(listing);
+      sendIfReader(news.get());
     }
-    boolean readAll = revision < 0;
+  }
+
+  private void followDeclaredState() {
+    declarationSchedule.recordStart();
+    long sinceRevision = readAll ? -1 : revision;
     (readAll
             ? store.readDeclaredState()
             : store.awaitDeclaredState(revision, LONG_POLL_TIMEOUT_MILLIS))
-        .onSuccess(
-            declaredState -> {
-              failures = 0;
-              revision = Math.max(revision, declaredState.revision());
-              listener.onDeclaredState(declaredState);
-              vertx.runOnContext(unused -> followDeclaredState());
-            })
-        .onFailure(failure -> retryAfterFailure(failure));
+        .onSuccess(declared -> onDeclaredState(sinceRevision, declared))
+        .onFailure(this::onDeclarationFailure);
   }
 
-  private void retryAfterFailure(Throwable failure) {
-    listener.onFailure("declarations", String.valueOf(failure.getMessage()));
+  private void onDeclaredState(long sinceRevision, DeclaredState declared) {
+    declarationSchedule.recordSuccess(clock.getAsLong());
+    readAll = false;
+    revision = Math.max(revision, declared.revision());
+    listener.onRead(declared.revision());
+    listener.onDeclaredState(declared);
+    sendIfReader(new DeclarationNews(sinceRevision, declared));
+    vertx.runOnContext(unused -> startDueReads());
+  }
+
+  private void onDeclarationFailure(Throwable failure) {
+    declarationSchedule.recordFailure(clock.getAsLong());
     // After any failure all declarations are read again: the lost response may contain a change.
-    revision = -1;
-    long backoff =
-        Math.min(MAXIMUM_BACKOFF_MILLIS, MINIMUM_BACKOFF_MILLIS << Math.min(failures, 4));
-    failures++;
-    vertx.setTimer(jittered(backoff), id -> followDeclaredState());
+    readAll = true;
+    listener.onFailure("declarations", String.valueOf(failure.getMessage()));
   }
 
-  /** Shortens a delay by a random amount of up to a tenth, to spread the reads of many hosts. */
-  private long jittered(long millis) {
-    return Math.max(1, Math.round(millis * (0.9 + 0.1 * random.nextDouble())));
+  private void sendIfReader(PeerMessage news) {
+    if (zone.isReader()) {
+      zone.sendToZone(news);
+    }
+  }
+
+  /** Handles the changes between two listings of the zone's reader. */
+  void receive(ListingNews news) {
+    Optional<EndpointListing> listing = knownListing.apply(news);
+    if (listing.isPresent()) {
+      listingSchedule.recordNews(clock.getAsLong());
+      listener.onListing(listing.get());
+    } else {
+      listingSchedule.request();
+    }
+  }
+
+  /** Handles the changes of the declared state that the zone's reader has read. */
+  void receive(DeclarationNews news) {
+    DeclaredState changes = news.changes();
+    // Newer configurations and versions replace older ones, so that a gap loses nothing already
+    // known; what lies in the gap is read by this host itself.
+    listener.onDeclaredState(changes);
+    if (readAll || news.sinceRevision() > revision) {
+      declarationSchedule.request();
+    } else {
+      revision = Math.max(revision, changes.revision());
+      declarationSchedule.recordNews(clock.getAsLong());
+    }
   }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/HostStateTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/HostStateTest.java
@@ -16,6 +16,7 @@
 import org.lentilhinge.overlay.HostHeartbeat;
 import org.lentilhinge.overlay.HostRecord;
 import org.lentilhinge.permit.EngineStatus;
+import org.lentilhinge.published.AdapterRelease;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreFollowerTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreFollowerTest.java
@@ -3,8 +3,10 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.io.PrintStream;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +18,8 @@
 import java.util.concurrent.TimeUnit;
 import org.lentilhinge.forward.ForwardConfiguration;
 import org.lentilhinge.forward.ForwardLimits;
+import org.lentilhinge.published.DeclaredState;
+import org.lentilhinge.published.EndpointListing;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
@@ -75,6 +79,11 @@
 
     private final BlockingQueue<Long> versions = new LinkedBlockingQueue<>();
 
+    @Override
+    public void onRead(long revision) {
+      assertTrue(revision > 0);
+    }
+
     @Override
     public void onListing(EndpointListing listing) {
       throw new AssertionError("unexpected listing of endpoints");
@@ -93,7 +102,19 @@
 
   private RecordingListener follow(ScriptedStore store) {
     RecordingListener listener = new RecordingListener();
-    vertx.runOnContext(unused -> new StoreFollower(vertx, store, listener, new Random(1)).start());
+    HostContext context =
+        new HostContext(
+            vertx,
+            ForwardFixture.settings(),
+            () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+            new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
+            new MetricRegistry());
+    HostState state = new HostState(context, ForwardFixture.overlay(ForwardFixture.settings()));
+    ZoneReader alone = new ZoneReader(context, state, (host, message) -> {});
+    vertx.runOnContext(
+        unused ->
+            new StoreFollower(vertx, context.clock(), store, listener, alone, new Random(1))
+                .start());
     return listener;
   }
 
