Cut responses of servers that have no end

Cause: bytes that are no answer may come without end until we close. A body that is not streamed grew in memory until the request's deadline; interim and crossed responses were skipped without a bound; an event without an end was scanned anew for each part that arrived (up to 1 MB each time).

Change: at most 8 skipped responses and 1 MB of their bodies before the own one, 4 MB for a body that is not streamed, 8 MB for calls of the host itself; the connection is closed and the caller gets 502, or another endpoint where the request may run again. EventStream scans each byte once and also knows CR line ends (two faults listed as seen by reading; its unused methods are gone).

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
@@ -21,6 +21,12 @@
  */
 public final class ControlHttpClient {
 
+  /**
+   * The maximum length of a response, in bytes: several times the longest page of the store. An
+   * endpoint in trouble may send bytes without end.
+   */
+  private static final int MAXIMUM_RESPONSE_BYTES = 8_388_608;
+
   private final Vertx vertx;
   private final EndpointPool pool;
 
@@ -101,7 +107,11 @@
     public void onData(ByteBuf part) {
       byte[] bytes = new byte[part.readableBytes()];
       part.getBytes(part.readerIndex(), bytes);
-      body.appendBytes(bytes);
+      if (body.length() + bytes.length > MAXIMUM_RESPONSE_BYTES) {
+        onFailure("response is longer than " + MAXIMUM_RESPONSE_BYTES + " bytes");
+      } else {
+        body.appendBytes(bytes);
+      }
     }
 
     @Override
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -34,6 +34,12 @@
   private static final String NO_CONNECTION = "no-connection";
   private static final String EVENT_STREAM = "text/event-stream";
 
+  /**
+   * The maximum length of a body that is not streamed, in bytes. An endpoint in trouble may send
+   * bytes without end, and a host has 128 MB for all requests.
+   */
+  private static final int MAXIMUM_BODY_BYTES = 4_194_304;
+
   private final Forwarder forwarder;
   private final ForwardedRequest request;
   private final CallerExchange exchange;
@@ -169,6 +175,9 @@
     }
     if (!streaming) {
       body.writeBytes(part, part.readerIndex(), part.readableBytes());
+      if (body.readableBytes() > MAXIMUM_BODY_BYTES) {
+        fail("body-too-long");
+      }
       return;
     }
     ByteBuf complete = events.add(part);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -23,10 +23,21 @@
 
   private static final int MAXIMUM_HEADER_BYTES = 65_536;
 
+  /**
+   * The number of responses that may precede the response to the request in flight: interim ones
+   * and late ones to earlier requests. An endpoint in trouble may send them without end.
+   */
+  private static final int MAXIMUM_SKIPPED_RESPONSES = 8;
+
+  /** The length of the bodies of such responses together, in bytes. */
+  private static final long MAXIMUM_SKIPPED_BYTES = 1_048_576;
+
   private final NetSocketInternal socket;
   private final Consumer<EndpointConnection> idleListener;
   private Optional<ResponseHandler> handler = Optional.empty();
   private boolean skippingResponse;
+  private int skippedResponses;
+  private long skippedBytes;
   private boolean readingResponse;
   private boolean selfDelimited;
   private boolean keepAlive;
@@ -79,6 +90,8 @@
     handler = Optional.of(responseHandler);
     uses++;
     written = false;
+    skippedResponses = 0;
+    skippedBytes = 0;
     socket.writeMessage(head);
     socket
         .writeMessage(new DefaultLastHttpContent(body))
@@ -114,6 +127,10 @@
       boolean last = part instanceof LastHttpContent;
       if (skippingResponse) {
         skippingResponse = !last;
+        skippedBytes += content.content().readableBytes();
+        if (skippedBytes > MAXIMUM_SKIPPED_BYTES) {
+          fail("endless-response");
+        }
         return;
       }
       if (content.content().isReadable()) {
@@ -129,6 +146,10 @@
     boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     if (informational || !handler.orElseThrow().matches(response)) {
       skippingResponse = true;
+      skippedResponses++;
+      if (skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
+        fail("endless-responses");
+      }
       return;
     }
     readingResponse = true;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EventStream.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EventStream.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 
 /** Splits a stream of events (WHATWG server-sent events) at the ends of complete events. */
@@ -11,9 +12,16 @@
   /** The maximum length of an event, in bytes. No engine sends longer events. */
   private static final int MAXIMUM_EVENT_BYTES = 1_048_576;
 
+  /** The ends of an event: a blank line after a line that ends with LF, CR LF or CR. */
+  private static final List<String> BLANK_LINES = List.of("\n\n", "\r\n\r\n", "\r\r");
+
+  private static final int LONGEST_END_BYTES = 4;
+
   private final ByteBuf pending = Unpooled.buffer();
   private Optional<String> lastId = Optional.empty();
-  private int identifiedEvents;
+
+  /** The length of the part of the pending data that holds no end of an event. */
+  private int scannedBytes;
 
   /**
    * Adds received bytes and returns the events that are now complete; may return an empty buffer.
@@ -22,28 +30,34 @@
     pending.writeBytes(part, part.readerIndex(), part.readableBytes());
     int end = endOfLastEvent();
     if (end < 0) {
+      scannedBytes = Math.max(0, pending.readableBytes() - LONGEST_END_BYTES + 1);
       return Unpooled.EMPTY_BUFFER;
     }
     ByteBuf complete = Unpooled.copiedBuffer(pending.slice(pending.readerIndex(), end));
     pending.skipBytes(end);
     pending.discardReadBytes();
+    scannedBytes = 0;
     recordEventIds(complete.toString(StandardCharsets.UTF_8));
     return complete;
   }
 
+  /** Returns the end of the last complete event, or -1; scans only what was not scanned before. */
   private int endOfLastEvent() {
-    String text = pending.toString(StandardCharsets.ISO_8859_1);
-    int lineFeeds = text.lastIndexOf("\n\n");
-    int crLfPairs = text.lastIndexOf("\r\n\r\n");
-    int end = Math.max(lineFeeds < 0 ? -1 : lineFeeds + 2, crLfPairs < 0 ? -1 : crLfPairs + 4);
+    int start = pending.readerIndex() + scannedBytes;
+    String text =
+        pending.toString(start, pending.writerIndex() - start, StandardCharsets.ISO_8859_1);
+    int end = -1;
+    for (String blankLine : BLANK_LINES) {
+      int found = text.lastIndexOf(blankLine);
+      end = Math.max(end, found < 0 ? -1 : scannedBytes + found + blankLine.length());
+    }
     return end;
   }
 
   private void recordEventIds(String completeEvents) {
-    for (String line : completeEvents.split("\r?\n")) {
+    for (String line : completeEvents.split("\r\n|\n|\r")) {
       if (line.startsWith("id:")) {
         lastId = Optional.of(line.substring("id:".length()).trim());
-        identifiedEvents++;
       }
     }
   }
@@ -61,13 +75,4 @@
   Optional<String> lastId() {
     return lastId;
   }
-
-  int identifiedEventCount() {
-    return identifiedEvents;
-  }
-
-  /** Discards the incomplete event at the end of the data. */
-  void discardIncompleteEvent() {
-    pending.clear();
-  }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardingFaultsTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardingFaultsTest.java
@@ -120,6 +120,57 @@
     assertTrue(send(unsafeRequest(), malformed).startsWith("HTTP/1.1 502"));
   }
 
+  /** Writes the text again and again until the connection is closed. */
+  private static void writeEndlessly(NetSocket socket, String text) {
+    socket.write(text).onSuccess(unused -> writeEndlessly(socket, text));
+  }
+
+  private void assertEndlessResponseIsCut(String head, String repeated, String request)
+      throws IOException, InterruptedException {
+    ScriptedEndpoint endless =
+        endpoint(
+            (socket, unused) -> {
+              socket.write(head);
+              writeEndlessly(socket, repeated);
+            });
+    String response = send(request, endless);
+    assertTrue(response.startsWith("HTTP/1.1 502"), response);
+    assertTrue(endless.awaitClosed());
+  }
+
+  @Test
+  public void endlessBytesInsteadOfHeadAreCut() throws IOException, InterruptedException {
+    assertEndlessResponseIsCut("", "x".repeat(10_000), unsafeRequest());
+  }
+
+  @Test
+  public void endlessHeaderLinesAreCut() throws IOException, InterruptedException {
+    assertEndlessResponseIsCut("HTTP/1.1 200 OK\r\n", "X-More: 1\r\n", unsafeRequest());
+  }
+
+  @Test
+  public void endlessInterimResponsesAreCut() throws IOException, InterruptedException {
+    assertEndlessResponseIsCut("", "HTTP/1.1 100 Continue\r\n\r\n", unsafeRequest());
+  }
+
+  @Test
+  public void endlessResponseToAnotherRequestIsCut() throws IOException, InterruptedException {
+    String head = "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Signature: s\r\n\r\n";
+    assertEndlessResponseIsCut(head, "x".repeat(10_000), unsafeRequest());
+  }
+
+  @Test
+  public void endlessBodyIsCut() throws IOException, InterruptedException {
+    String head = "HTTP/1.1 200 OK\r\nX-Id: i\r\nX-Signature: s\r\n\r\n";
+    assertEndlessResponseIsCut(head, "x".repeat(10_000), unsafeRequest());
+  }
+
+  @Test
+  public void endlessEventIsCut() throws IOException, InterruptedException {
+    String request = ForwardFixture.request("POST", "/stream/x", "i", "body");
+    assertEndlessResponseIsCut(STREAM_HEAD, chunk("x".repeat(10_000)), request);
+  }
+
   @Test
   public void unsignedSuccessIsBadGateway() throws IOException {
     ScriptedEndpoint unsigned =
