--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -151,8 +151,8 @@
             Unpooled.EMPTY_BUFFER);
     if (currentExchange.isEmpty()) {
       currentExchange = Optional.of(rejected);
-      rejected.respond(status, Optional.empty(), reason);
       server.onRequestRejected(status, reason);
+      rejected.respond(status, Optional.empty(), reason);
     } else {
       close();
     }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -200,6 +200,13 @@
         + body;
   }
 
+  /** Returns the number of requests that a planned stop would wait for. */
+  int requestsInFlight() {
+    CompletableFuture<Integer> count = new CompletableFuture<>();
+    loop.runOnContext(unused -> count.complete(callerServer.requestsInFlight()));
+    return count.join();
+  }
+
   /** Starts a planned stop on the event loop. */
   void stop() {
     CompletableFuture<Void> done = new CompletableFuture<>();
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardingFaultsTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardingFaultsTest.java
@@ -180,6 +180,14 @@
     assertTrue(send(unsafeRequest(), unsigned).startsWith("HTTP/1.1 502"));
   }
 
+  @Test
+  public void malformedRequestIsNotWaitedForAtStop() throws IOException {
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of())) {
+      assertTrue(fixture.send("nonsense\r\n\r\n").startsWith("HTTP/1.1 400"));
+      assertEquals(fixture.requestsInFlight(), 0);
+    }
+  }
+
   @Test
   public void requestWithTwoLengthsIsRejectedAndNotForwarded() throws IOException {
     ScriptedEndpoint endpoint =
