--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
@@ -1,11 +1,15 @@
 package org.lentilhinge.runtime.forward;
 
-import org.lentilhinge.permit.EngineStatus;
-import org.lentilhinge.permit.HostHeartbeat;
-import org.lentilhinge.permit.OrderCount;
+import org.lentilhinge.overlay.HostGossip;
+import org.lentilhinge.overlay.HostHeartbeat;
+import org.lentilhinge.overlay.HostProbe;
+import org.lentilhinge.overlay.HostTable;
+import org.lentilhinge.permit.EngineStatuses;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
+import org.lentilhinge.published.DeclarationNews;
+import org.lentilhinge.published.ListingNews;
 import org.lentilhinge.runtime.peer.MessageRegistry;
 
 /** The tags of the messages of the forwarding path. A tag is never reused for another type. */
@@ -15,11 +19,15 @@
 
   static MessageRegistry registry() {
     return new MessageRegistry()
-        .register(1, HostHeartbeat.class)
-        .register(2, EngineStatus.class)
         .register(3, PermitRequest.class)
         .register(4, PermitAnswer.class)
         .register(5, PermitReturn.class)
-        .register(6, OrderCount.class);
+        .register(7, HostHeartbeat.class)
+        .register(8, HostProbe.class)
+        .register(9, HostGossip.class)
+        .register(10, HostTable.class)
+        .register(11, EngineStatuses.class)
+        .register(12, ListingNews.class)
+        .register(13, DeclarationNews.class);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -17,6 +17,7 @@
 import org.lentilhinge.permit.EngineOwnership;
 import org.lentilhinge.permit.EngineScheduler;
 import org.lentilhinge.permit.EngineStatus;
+import org.lentilhinge.permit.OrderCount;
 import org.lentilhinge.permit.OrderCounts;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
@@ -52,6 +53,9 @@
    */
   private static final long REPEAT_WINDOW_MILLIS = 330;
 
+  /** The time before a possible takeover at which a fresh revision is read, in milliseconds. */
+  private static final long REVISION_LEAD_MILLIS = 300;
+
   /** The time after which an order that is not complete counts as failed, in milliseconds. */
   private static final long ORDER_TIMEOUT_MILLIS = 10_000;
 
@@ -60,6 +64,7 @@
   private final HostContext context;
   private final EngineControl control;
   private final PeerSender peers;
+  private final StatusExchange statuses;
   private final HostState state;
   private final FleetEndpoint engine;
   private final EngineScheduler scheduler;
@@ -85,6 +90,7 @@
       HostContext context,
       EngineControl control,
       PeerSender peers,
+      StatusExchange statuses,
       HostState state,
       FleetEndpoint engine,
       EngineScheduler scheduler,
@@ -93,6 +99,7 @@
     this.context = context;
     this.control = control;
     this.peers = peers;
+    this.statuses = statuses;
     this.state = state;
     this.engine = engine;
     this.scheduler = scheduler;
@@ -175,7 +182,11 @@
     }
     int rank = state.ownerRanking(engine).indexOf(context.host());
     if (!ownership.isOwner() && rank >= 0) {
-      scheduler.setCanOrderIn(ownership.remainingTakeoverMillis(rank, context.now()));
+      long remainingMillis = ownership.remainingTakeoverMillis(rank, context.now());
+      scheduler.setCanOrderIn(remainingMillis);
+      if (remainingMillis <= REVISION_LEAD_MILLIS) {
+        state.requestFreshRevision();
+      }
       if (ownership.isTakeoverDue(rank, context.now())
           && context.now() - lastReadAtMillis >= READ_INTERVAL_MILLIS) {
         readReport("take");
@@ -254,15 +265,15 @@
       scheduler.setCanOrderIn(ownership.remainingTakeoverMillis(rank, now));
     }
     if (acquired || reason.equals(FIRST_READ)) {
-      broadcastStatus();
+      publishStatus();
     }
     execute(scheduler.decide(now));
     checkAwaitingOrders(report);
     sendNextOrder();
   }
 
-  /** Sends the engine's count of accepted orders and the age of that count to all hosts. */
-  void broadcastOrderCount() {
+  /** Returns the engine's count of accepted orders and its age, or empty if it is not known. */
+  Optional<OrderCount> orderCount() {
     long now = context.now();
     if (ownership.isOwner()) {
       counts.recordCount(
@@ -270,15 +281,11 @@
           ownership.expectedOrderCount().orElse(0),
           ownership.unchangedSinceMillis());
     }
-    counts
-        .highestCount(engine.incarnation(), now)
-        .ifPresent(count -> state.hosts().liveHosts().forEach(host -> peers.send(host, count)));
+    return counts.highestCount(engine.incarnation(), now);
   }
 
-  private void broadcastStatus() {
-    EngineStatus status = status();
-    state.hosts().liveHosts().forEach(host -> peers.send(host, status));
-    state.engineSelector().updateStatus(context.host(), status, context.now());
+  private void publishStatus() {
+    statuses.publish(List.of(status()), orderCount().stream().toList());
   }
 
   private void execute(List<EngineCommand> commands) {
