A host that has just started does not take itself for the only one

Cause (by reading): until its first contact with a seed, up to a second later, a restarted host ranks itself first for all engines, reads a report of each and keeps a connection to each: 5,320 priced connections if 95 hosts restart together while their seeds do not listen yet.

Change: while no host is known, seeds are contacted each 300 ms instead of each second, and for the first 1.5 s a host without others runs schedulers only for requests that it has itself.

Ruled out: waiting for all seeds (they may be down for good).

Test: hostFindsLateSeedWithinHalfSecond.

--- a/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
@@ -27,6 +27,12 @@
   /** The interval of attempts to contact a seed or a lost host, in milliseconds. */
   private static final long CONTACT_INTERVAL_MILLIS = 1_000;
 
+  /**
+   * The same interval while no host is known, in milliseconds. A seed that starts at the same time
+   * may not listen yet.
+   */
+  private static final long FIRST_CONTACT_INTERVAL_MILLIS = 300;
+
   /**
    * The interval of probes of any live host, in milliseconds. They find a host that failed before
    * its neighbors received a heartbeat.
@@ -268,7 +274,9 @@
       neighbors.forEach(host -> send(host, heartbeat(true), commands));
     }
     if (nowMillis >= nextContactAtMillis) {
-      nextContactAtMillis = nowMillis + CONTACT_INTERVAL_MILLIS;
+      boolean alone = view.live().isEmpty();
+      nextContactAtMillis =
+          nowMillis + (alone ? FIRST_CONTACT_INTERVAL_MILLIS : CONTACT_INTERVAL_MILLIS);
       contactAbsentHosts(commands);
     }
     if (nowMillis >= nextRandomProbeAtMillis) {
--- a/core/src/test/java/org/lentilhinge/overlay/HostOverlayTest.java
+++ b/core/src/test/java/org/lentilhinge/overlay/HostOverlayTest.java
@@ -128,6 +128,19 @@
     assertViewsAgree(simulation, "after all were restarted");
   }
 
+  @Test
+  public void hostFindsLateSeedWithinHalfSecond() {
+    OverlaySimulation simulation = new OverlaySimulation(11, 3);
+    simulation.run(START_MILLIS);
+    simulation.names().forEach(simulation::kill);
+    simulation.names().stream().skip(1).forEach(name -> simulation.start(name, 0));
+    simulation.names().stream().skip(2).forEach(simulation::kill);
+    simulation.run(5_000);
+    simulation.start(simulation.names().get(0), 0);
+    simulation.run(500);
+    assertViewsAgree(simulation, "after the seed has started");
+  }
+
   @Test
   public void pausedHostDoesNotLoseTheOthersWhenItWakes() {
     OverlaySimulation simulation = new OverlaySimulation(7, 24);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -40,6 +40,13 @@
    */
   private static final long MAXIMUM_TICK_GAP_MILLIS = 1_000;
 
+  /**
+   * The time after the start for which a host that knows no other host does not take itself for the
+   * only one, in milliseconds. Otherwise all hosts that start together would open connections to
+   * all engines.
+   */
+  private static final long JOINING_MILLIS = 1_500;
+
   private final HostContext context;
   private final EngineControl control;
   private final PeerSender peers;
@@ -47,6 +54,7 @@
   private final HostState state;
   private final Map<String, OwnedEngineRunner> runners = new HashMap<>();
   private final OrderCounts counts = new OrderCounts();
+  private final long createdAtMillis;
   private long lastTickAtMillis;
 
   EngineSchedulers(
@@ -60,6 +68,7 @@
     this.peers = peers;
     this.statuses = statuses;
     this.state = state;
+    this.createdAtMillis = context.now();
   }
 
   /** Passes a permit request to the engine's scheduler, which is created if necessary. */
@@ -148,9 +157,11 @@
       relinquishAll("own-pause");
     }
     lastTickAtMillis = now;
+    boolean joining = now - createdAtMillis < JOINING_MILLIS && state.hosts().liveHosts().isEmpty();
     for (FleetEndpoint engine : state.endpoints().all()) {
       boolean responsible =
-          state.endpoints().isUsable(engine)
+          !joining
+              && state.endpoints().isUsable(engine)
               && state.service(engine.service()).flatMap(service -> service.engine()).isPresent()
               && state.schedulerHost(engine).equals(context.host());
       if (responsible) {
