Idle hosts wake up half as often, and suspected hosts are not waited for

Cause: 95 idle hosts keep 4 to 5 of 8 real cores busy: five timers of their own (50, 50, 50, 100, 200 ms), a tick of the links over a second thread, and pings twice a second on links that carry only heartbeats. Besides, a permit request to a frozen host waited for the silence of its link, though the watchers of the host knew more.

Change: one tick of 50 ms drives the host; links tick each 100 ms and ping each second after use. A suspicion, which gossip brings everywhere within some 100 ms, voids pending permit requests to the host at once (event host-suspected). StoreStateUpdater is split off ForwardHost.

Tests: the virtual-time tests of the overlay and the tests of follower and links, unchanged in their bounds.

--- a/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
@@ -151,7 +151,7 @@
       String from, HostGossip gossip, long nowMillis, List<OverlayCommand> commands) {
     long formerVersion = self.version();
     mergeAll(from, gossip.records(), commands);
-    gossip.suspicions().forEach(suspicion -> onSuspicion(suspicion, nowMillis));
+    gossip.suspicions().forEach(suspicion -> onSuspicion(suspicion, nowMillis, commands));
     if (self.version() != formerVersion) {
       // The sender may not be reached by gossip: it may have lost this host.
       send(from, heartbeat(neighbors.contains(from)), commands);
@@ -187,7 +187,9 @@
       return;
     }
     view.put(entry);
-    detector.clearSuspicion(entry.host());
+    if (detector.clearSuspicion(entry.host())) {
+      disconnected.remove(entry.host());
+    }
     recordsToGossip.put(entry.host(), entry);
     reportChange(known, entry, commands);
   }
@@ -213,19 +215,19 @@
     recordsToGossip.put(self.host(), self);
   }
 
-  private void onSuspicion(HostSuspicion suspicion, long nowMillis) {
+  private void onSuspicion(HostSuspicion suspicion, long nowMillis, List<OverlayCommand> commands) {
     if (suspicion.host().equals(self.host())) {
       if (suspicion.version() >= self.version()) {
         raiseVersion(suspicion.version());
       }
       return;
     }
-    boolean concerned =
-        view.find(suspicion.host())
-            .filter(known -> known.version() <= suspicion.version())
-            .isPresent();
-    if (concerned && detector.suspect(suspicion.host(), nowMillis)) {
+    Optional<HostRecord> known =
+        view.find(suspicion.host()).filter(entry -> entry.version() <= suspicion.version());
+    if (known.isPresent() && detector.suspect(suspicion.host(), nowMillis)) {
       suspicionsToGossip.put(suspicion.host(), suspicion);
+      disconnected.add(suspicion.host());
+      commands.add(new OverlayCommand.Suspected(known.get()));
     }
   }
 
@@ -262,7 +264,7 @@
     for (String host : detector.removeUnresponsive(nowMillis)) {
       view.find(host)
           .map(silent -> new HostSuspicion(host, silent.version()))
-          .ifPresent(suspicion -> onSuspicion(suspicion, nowMillis));
+          .ifPresent(suspicion -> onSuspicion(suspicion, nowMillis, commands));
     }
     detector.silentHosts(nowMillis).forEach(host -> probe(host, nowMillis, commands));
     disconnected.forEach(host -> probe(host, nowMillis, commands));
--- a/core/src/main/java/org/lentilhinge/overlay/OverlayCommand.java
+++ b/core/src/main/java/org/lentilhinge/overlay/OverlayCommand.java
@@ -34,6 +34,13 @@
    */
   record Leaving(HostRecord host) implements OverlayCommand {}
 
+  /**
+   * Reports that a host does not respond; it may refute that within a short time.
+   *
+   * @param host its record
+   */
+  record Suspected(HostRecord host) implements OverlayCommand {}
+
   /**
    * Reports that a host does not respond and did not refute it.
    *
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -15,8 +15,6 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.lentilhinge.fleet.FleetChange;
-import org.lentilhinge.forward.ForwardConfiguration;
 import org.lentilhinge.identity.HostId;
 import org.lentilhinge.identity.HostIncarnation;
 import org.lentilhinge.identity.ZoneId;
@@ -29,10 +27,7 @@
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
 import org.lentilhinge.permit.StatusRelay;
-import org.lentilhinge.published.AdapterRelease;
 import org.lentilhinge.published.DeclarationNews;
-import org.lentilhinge.published.DeclaredState;
-import org.lentilhinge.published.EndpointListing;
 import org.lentilhinge.published.ListingNews;
 import org.lentilhinge.runtime.metric.MetricExposition;
 import org.lentilhinge.runtime.peer.MessageCodec;
@@ -48,14 +43,24 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int MAXIMUM_FRAME_BYTES = 1_048_576;
 
-  /** The interval between ticks of the engine schedulers, in milliseconds. */
+  /**
+   * The interval between ticks, in milliseconds. One timer drives all periodic work, because each
+   * wake-up of an idle host costs processor time.
+   */
   private static final long TICK_INTERVAL_MILLIS = 50;
 
-  /** The interval between engine status updates, in milliseconds. */
-  private static final long STATUS_INTERVAL_MILLIS = 200;
+  /** The number of ticks between two times at which a relay passes on engine statuses. */
+  private static final int TICKS_PER_RELAY = 2;
+
+  /** The number of ticks between two updates of the engine statuses. */
+  private static final int TICKS_PER_STATUS = 4;
 
-  /** The interval at which a relay passes on engine statuses of other hosts, in milliseconds. */
-  private static final long RELAY_INTERVAL_MILLIS = 100;
+  /**
+   * The timings of links that are mostly idle: pings a second apart instead of half, as the
+   * membership also detects failures.
+   */
+  private static final PeerTimings LINK_TIMINGS =
+      new PeerTimings(100, 1_000, 2_000, 2_000, 50, 2_000, 60_000);
 
   /**
    * The time after which the load balancer sends no new requests to a host that is not ready, in
@@ -88,6 +93,7 @@
   private final CallerServer callerServer;
   private final List<CallerServer> operationsServers;
   private final Promise<Void> stopped = Promise.promise();
+  private long ticks;
 
   /**
    * Creates a host that is not started yet.
@@ -139,7 +145,7 @@
     ZoneReader zoneReader = new ZoneReader(context, state, sender);
     follower =
         new StoreFollower(
-            vertx, context.clock(), store, new StoreStateUpdater(), zoneReader, random);
+            vertx, context.clock(), store, createStoreStateUpdater(), zoneReader, random);
     state.setRevisionReader(follower::requestRead);
     forwarder = new Forwarder(context, state, platform.headerTranslator(), pool, permits);
     callerServer = createServer(settings.callerAddress(), forwarder::accept);
@@ -168,7 +174,7 @@
             Optional.empty(),
             MAXIMUM_FRAME_BYTES,
             PeerSettings.DEFAULT_MAXIMUM_QUEUED_FRAMES,
-            PeerTimings.DEFAULT);
+            LINK_TIMINGS);
     PeerNetwork network =
         new PeerNetwork(
             context.vertx(),
@@ -240,14 +246,12 @@
               changes.dispose();
             });
     overlay.tick();
-    follower.start();
+    follower.tick();
     context
         .vertx()
         .setTimer(
             StartupRequestBuffer.MAXIMUM_WAIT_MILLIS, id -> forwarder.releaseBufferedRequests());
     context.vertx().setPeriodic(TICK_INTERVAL_MILLIS, id -> tick());
-    context.vertx().setPeriodic(RELAY_INTERVAL_MILLIS, id -> statuses.flush());
-    context.vertx().setPeriodic(STATUS_INTERVAL_MILLIS, id -> runPeriodicTasks());
     context
         .log()
         .line(
@@ -304,8 +308,16 @@
   }
 
   private void tick() {
+    ticks++;
     overlay.tick();
     schedulers.tick();
+    follower.tick();
+    if (ticks % TICKS_PER_RELAY == 0) {
+      statuses.flush();
+    }
+    if (ticks % TICKS_PER_STATUS == 0) {
+      runPeriodicTasks();
+    }
   }
 
   private void runPeriodicTasks() {
@@ -370,6 +382,10 @@
     }
   }
 
+  private StoreStateUpdater createStoreStateUpdater() {
+    return new StoreStateUpdater(context, state, schedulers, pool, this::releaseBufferedRequests);
+  }
+
   private void releaseBufferedRequests() {
     if (state.isInitialized()) {
       forwarder.releaseBufferedRequests();
@@ -387,99 +403,16 @@
     }
 
     @Override
-    public void onEnded(String host) {
-      schedulers.removeHost(host);
+    public void onUnresponsive(String host) {
       permits.removeHost(host);
       state.engineSelector().removeHost(host);
     }
-  }
-
-  /** Applies the contents of the published store to the state of this host. */
-  private final class StoreStateUpdater implements StoreListener {
-
-    private boolean listingFailed;
-
-    @Override
-    public void onRead(long revision) {
-      state.recordRevision(revision);
-    }
 
     @Override
-    public void onListing(EndpointListing listing) {
-      if (listingFailed) {
-        listingFailed = false;
-        context.log().line("store-regained", "reading", "endpoints");
-      }
-      for (FleetChange change :
-          state.endpoints().updateFromListing(listing.endpoints(), context.now())) {
-        applyChange(change);
-      }
-      releaseBufferedRequests();
-    }
-
-    private void applyChange(FleetChange change) {
-      context
-          .log()
-          .line(
-              "endpoint",
-              "id",
-              change.endpoint().id(),
-              "change",
-              change.kind(),
-              "service",
-              change.endpoint().service(),
-              "address",
-              change.endpoint().address(),
-              "revision",
-              change.endpoint().revision());
-      if (change.kind() == FleetChange.Kind.GONE) {
-        String incarnation = change.endpoint().incarnation();
-        schedulers.removeEngine(incarnation);
-        state.engineSelector().removeEngine(incarnation);
-        state.scores().remove(incarnation);
-        pool.removeAddress(change.endpoint().address());
-      }
-    }
-
-    @Override
-    public void onDeclaredState(DeclaredState declared) {
-      declared.configuration().ifPresent(this::applyConfiguration);
-      for (AdapterRelease release : declared.releases()) {
-        if (state.recordRelease(release)) {
-          context
-              .log()
-              .line(
-                  "adapter-version",
-                  "adapter",
-                  release.model() + '/' + release.adapter(),
-                  "version",
-                  release.version());
-        }
-      }
-      releaseBufferedRequests();
-    }
-
-    private void applyConfiguration(ForwardConfiguration configuration) {
-      if (state.applyConfiguration(configuration)) {
-        context
-            .log()
-            .line(
-                "configuration",
-                "version",
-                configuration.version(),
-                "routes",
-                configuration.routes().size(),
-                "services",
-                configuration.services().size());
-      }
-    }
-
-    @Override
-    public void onFailure(String data, String cause) {
-      if (!listingFailed) {
-        listingFailed = data.equals("endpoints");
-        context.log().line("store-failed", "reading", data, "why", cause);
-      }
+    public void onEnded(String host) {
+      schedulers.removeHost(host);
+      permits.removeHost(host);
+      state.engineSelector().removeHost(host);
     }
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
@@ -28,6 +28,9 @@
     /** The engines of a host need another owner, but the host still answers. */
     void onLeaving(String host);
 
+    /** A host may have failed: requests that wait for its answers should not wait longer. */
+    void onUnresponsive(String host);
+
     /** All messages and requests in flight to and from a host are void. */
     void onEnded(String host);
   }
@@ -103,6 +106,9 @@
       } else if (command instanceof OverlayCommand.Leaving leaving) {
         log("host-leaving", leaving.host());
         listener.onLeaving(leaving.host().host());
+      } else if (command instanceof OverlayCommand.Suspected suspected) {
+        log("host-suspected", suspected.host());
+        listener.onUnresponsive(suspected.host().host());
       } else if (command instanceof OverlayCommand.Lost lost) {
         log("host-lost", lost.host());
         listener.onEnded(lost.host().host());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
@@ -31,9 +31,6 @@
    */
   private static final long LONG_POLL_TIMEOUT_MILLIS = 1_000;
 
-  /** The interval at which due reads are started, in milliseconds. */
-  private static final long CHECK_INTERVAL_MILLIS = 50;
-
   private final Vertx vertx;
   private final LongSupplier clock;
   private final PublishedStore store;
@@ -62,8 +59,8 @@
     declarationSchedule = new ReadSchedule(0, random);
   }
 
-  void start() {
-    vertx.setPeriodic(CHECK_INTERVAL_MILLIS, id -> startDueReads());
+  /** Starts the reads that are due. Must be called several times per second. */
+  void tick() {
     startDueReads();
   }
 
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreStateUpdater.java
@@ -0,0 +1,120 @@
+package org.lentilhinge.runtime.forward;
+
+import org.lentilhinge.fleet.FleetChange;
+import org.lentilhinge.forward.ForwardConfiguration;
+import org.lentilhinge.published.AdapterRelease;
+import org.lentilhinge.published.DeclaredState;
+import org.lentilhinge.published.EndpointListing;
+
+/** Applies the contents of the published store to the state of this host. */
+final class StoreStateUpdater implements StoreListener {
+
+  private final HostContext context;
+  private final HostState state;
+  private final EngineSchedulers schedulers;
+  private final EndpointPool pool;
+  private final Runnable afterRead;
+
+  private boolean listingFailed;
+
+  /**
+   * Creates an updater.
+   *
+   * @param afterRead called after each read, when requests that waited for it may be forwarded
+   */
+  StoreStateUpdater(
+      HostContext context,
+      HostState state,
+      EngineSchedulers schedulers,
+      EndpointPool pool,
+      Runnable afterRead) {
+    this.context = context;
+    this.state = state;
+    this.schedulers = schedulers;
+    this.pool = pool;
+    this.afterRead = afterRead;
+  }
+
+  @Override
+  public void onRead(long revision) {
+    state.recordRevision(revision);
+  }
+
+  @Override
+  public void onListing(EndpointListing listing) {
+    if (listingFailed) {
+      listingFailed = false;
+      context.log().line("store-regained", "reading", "endpoints");
+    }
+    for (FleetChange change :
+        state.endpoints().updateFromListing(listing.endpoints(), context.now())) {
+      applyChange(change);
+    }
+    afterRead.run();
+  }
+
+  private void applyChange(FleetChange change) {
+    context
+        .log()
+        .line(
+            "endpoint",
+            "id",
+            change.endpoint().id(),
+            "change",
+            change.kind(),
+            "service",
+            change.endpoint().service(),
+            "address",
+            change.endpoint().address(),
+            "revision",
+            change.endpoint().revision());
+    if (change.kind() == FleetChange.Kind.GONE) {
+      String incarnation = change.endpoint().incarnation();
+      schedulers.removeEngine(incarnation);
+      state.engineSelector().removeEngine(incarnation);
+      state.scores().remove(incarnation);
+      pool.removeAddress(change.endpoint().address());
+    }
+  }
+
+  @Override
+  public void onDeclaredState(DeclaredState declared) {
+    declared.configuration().ifPresent(this::applyConfiguration);
+    for (AdapterRelease release : declared.releases()) {
+      if (state.recordRelease(release)) {
+        context
+            .log()
+            .line(
+                "adapter-version",
+                "adapter",
+                release.model() + '/' + release.adapter(),
+                "version",
+                release.version());
+      }
+    }
+    afterRead.run();
+  }
+
+  private void applyConfiguration(ForwardConfiguration configuration) {
+    if (state.applyConfiguration(configuration)) {
+      context
+          .log()
+          .line(
+              "configuration",
+              "version",
+              configuration.version(),
+              "routes",
+              configuration.routes().size(),
+              "services",
+              configuration.services().size());
+    }
+  }
+
+  @Override
+  public void onFailure(String data, String cause) {
+    if (!listingFailed) {
+      listingFailed = data.equals("endpoints");
+      context.log().line("store-failed", "reading", data, "why", cause);
+    }
+  }
+}
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreFollowerTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreFollowerTest.java
@@ -28,6 +28,7 @@
 public class StoreFollowerTest {
 
   private static final long WAIT_SECONDS = 10;
+  private static final long TICK_MILLIS = 10;
 
   private Vertx vertx;
 
@@ -112,9 +113,11 @@
     HostState state = new HostState(context, ForwardFixture.overlay(ForwardFixture.settings()));
     ZoneReader alone = new ZoneReader(context, state, (host, message) -> {});
     vertx.runOnContext(
-        unused ->
-            new StoreFollower(vertx, context.clock(), store, listener, alone, new Random(1))
-                .start());
+        unused -> {
+          StoreFollower follower =
+              new StoreFollower(vertx, context.clock(), store, listener, alone, new Random(1));
+          vertx.setPeriodic(TICK_MILLIS, id -> follower.tick());
+        });
     return listener;
   }
 
