Try another endpoint when a safe request failed at its server

Change: the response is kept and another endpoint tried, within attempts and budget. If that does not answer within the target time of the route, or fails too, the kept response is passed on: the caller is not held.

Ruled out: holding to the deadline (the caller's own repetition comes too late).

Tests: four over sockets in ForwardingFaultsTest.

--- a/core/src/main/java/org/lentilhinge/forward/RequestProgress.java
+++ b/core/src/main/java/org/lentilhinge/forward/RequestProgress.java
@@ -46,6 +46,17 @@
     return kindAllows && possibleRuns < route.maximumAttempts() && sends < MAXIMUM_SENDS;
   }
 
+  /**
+   * Returns whether the request may be sent again if the attempt in progress turns out to have run.
+   *
+   * @return whether a response of that attempt that reports a failure need not be the last one
+   */
+  public boolean mayAttemptAfterRun() {
+    return route.isRepeatable()
+        && possibleRuns + 1 < route.maximumAttempts()
+        && sends + 1 < MAXIMUM_SENDS;
+  }
+
   /**
    * Returns whether the next attempt counts against the retry budget.
    *
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -238,6 +238,11 @@
       // The status would assure the caller that the request was not executed, but the endpoint did
       // not mark it as not executed.
       end(AttemptOutcome.UNKNOWN, "status-without-word");
+    } else if (status >= 500
+        && request.keepFailure(
+            new ForwardedRequest.FailedResponse(
+                HttpResponseStatus.valueOf(status), responseHeaders(httpResponse), body))) {
+      end(AttemptOutcome.UNKNOWN, "endpoint-failed");
     } else {
       exchange.respond(HttpResponseStatus.valueOf(status), responseHeaders(httpResponse), body);
       request.onResponseStarted();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -1,6 +1,9 @@
 package org.lentilhinge.runtime.forward;
 
 import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -13,6 +16,7 @@
 import org.lentilhinge.forward.ForwardConfiguration;
 import org.lentilhinge.forward.ForwardRoute;
 import org.lentilhinge.forward.ForwardService;
+import org.lentilhinge.forward.RequestKind;
 import org.lentilhinge.forward.RequestProgress;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
@@ -59,8 +63,14 @@
   private long deadlineTimer;
   private boolean finished;
 
+  private Optional<FailedResponse> failedResponse = Optional.empty();
+  private OptionalLong failedResponseTimer = OptionalLong.empty();
+
   private record Permit(String host, long permitId) {}
 
+  /** The response of an endpoint that failed to execute the request. */
+  record FailedResponse(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {}
+
   ForwardedRequest(
       Forwarder forwarder,
       CallerExchange exchange,
@@ -263,6 +273,33 @@
         .update(context.now() - arrivedAtMillis, TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Keeps the response of an endpoint that failed, if another endpoint may be tried. It is passed
+   * on if no other endpoint has responded after the time that a response is expected to take.
+   *
+   * @return whether the response is kept, so that the attempt has not answered the request
+   */
+  boolean keepFailure(FailedResponse failure) {
+    boolean keep = route.kind() == RequestKind.SAFE && progress.mayAttemptAfterRun();
+    if (keep) {
+      failedResponse = Optional.of(failure);
+      failedResponseTimer.ifPresent(context.vertx()::cancelTimer);
+      failedResponseTimer =
+          OptionalLong.of(
+              context.vertx().setTimer(Math.max(1, route.targetMillis()), id -> endRetry()));
+    }
+    return keep;
+  }
+
+  private void endRetry() {
+    if (!finished) {
+      attempt.ifPresent(EndpointAttempt::cancel);
+      attempt = Optional.empty();
+      progress.recordOutcome(AttemptOutcome.UNKNOWN);
+      fail("endpoint-failed");
+    }
+  }
+
   /** Handles the end of an attempt: makes another attempt, or ends the request. */
   void onAttemptEnded(
       EndpointAttempt endedAttempt,
@@ -349,9 +386,10 @@
   }
 
   /**
-   * Ends the request without a response from an endpoint. The status is 503 with a retry delay only
-   * if the request was certainly not executed; otherwise it is 504 after a timeout and 502 after
-   * any other failure. A response that has already begun is aborted.
+   * Ends the request without a successful response. A kept response of an endpoint is passed on.
+   * Otherwise the status is 503 with a retry delay only if the request was certainly not executed;
+   * otherwise it is 504 after a timeout and 502 after any other failure. A response that has
+   * already begun is aborted.
    */
   private void fail(String reason) {
     if (finished) {
@@ -360,6 +398,9 @@
     finish(reason);
     if (exchange.isResponseStarted()) {
       exchange.abort();
+    } else if (failedResponse.isPresent()) {
+      FailedResponse failure = failedResponse.get();
+      exchange.respond(failure.status(), failure.headers(), failure.body());
     } else if (progress.isCertainlyNotRun()) {
       long maximumDelayMillis = Math.max(0, remainingMillis()) / 3;
       long delayMillis =
@@ -375,6 +416,7 @@
   private void finish(String outcome) {
     finished = true;
     context.vertx().cancelTimer(deadlineTimer);
+    failedResponseTimer.ifPresent(context.vertx()::cancelTimer);
     releasePermit(PermitReturn.Outcome.DONE, 0);
     forwarder.count("ended." + outcome);
     log(
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardingFaultsTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardingFaultsTest.java
@@ -180,6 +180,50 @@
     assertTrue(send(unsafeRequest(), unsigned).startsWith("HTTP/1.1 502"));
   }
 
+  private ScriptedEndpoint failingEndpoint() {
+    String failure =
+        "HTTP/1.1 500 Failed\r\nX-Id: i\r\nX-Signature: s\r\nContent-Length: 4\r\n\r\noops";
+    return endpoint((socket, request) -> socket.write(failure));
+  }
+
+  @Test
+  public void safeRequestThatFailedIsAnsweredByAnotherEndpoint() throws IOException {
+    ScriptedEndpoint second =
+        endpoint((socket, request) -> socket.write(ForwardFixture.response("i", "again")));
+    String response = send(safeRequest(), failingEndpoint(), second);
+    assertTrue(response.startsWith("HTTP/1.1 200"), response);
+    assertTrue(response.endsWith("again"), response);
+  }
+
+  @Test
+  public void failureIsPassedOnIfAllEndpointsFail() throws IOException {
+    ScriptedEndpoint first = failingEndpoint();
+    ScriptedEndpoint second = failingEndpoint();
+    String response = send(safeRequest(), first, second);
+    assertTrue(response.startsWith("HTTP/1.1 500"), response);
+    assertTrue(response.endsWith("oops"), response);
+    assertEquals(first.requests().size() + second.requests().size(), 2);
+  }
+
+  @Test
+  public void failureOfUnsafeRequestIsPassedOnAtOnce() throws IOException {
+    ScriptedEndpoint second = failingEndpoint();
+    String response = send(unsafeRequest(), failingEndpoint(), second);
+    assertTrue(response.startsWith("HTTP/1.1 500"), response);
+    assertEquals(second.requests().size(), 0);
+  }
+
+  @Test
+  public void failureIsPassedOnBeforeDeadlineIfNextEndpointIsSilent() throws IOException {
+    ScriptedEndpoint silent = endpoint((socket, request) -> {});
+    long start = System.nanoTime();
+    String response = send(safeRequest(), failingEndpoint(), silent);
+    long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+    assertTrue(response.startsWith("HTTP/1.1 500"), response);
+    // The target time of the route is 500 ms, the deadline of the request 1,500 ms.
+    assertTrue(millis < 1_400, millis + " ms");
+  }
+
   @Test
   public void malformedRequestIsNotWaitedForAtStop() throws IOException {
     try (ForwardFixture fixture = new ForwardFixture(vertx, List.of())) {
