--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
@@ -21,6 +21,7 @@
   private final PeerSender sender;
   private final Listener listener;
   private Set<String> linkedHosts = Set.of();
+  private long linkedGeneration = -1;
 
   /** Receives what affects the requests of other hosts. */
   interface Listener {
@@ -54,7 +55,9 @@
 
   void tick() {
     execute(overlay.onTick(context.now()));
-    updateLinkedHosts();
+    if (overlay.generation() != linkedGeneration) {
+      updateLinkedHosts();
+    }
   }
 
   void leave() {
@@ -67,6 +70,7 @@
   }
 
   private void updateLinkedHosts() {
+    linkedGeneration = overlay.generation();
     Set<String> hosts = overlay.addresses();
     if (hosts.equals(linkedHosts)) {
       return;
