--- a/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
@@ -27,6 +27,12 @@
   /** The interval of attempts to contact a seed or a lost host, in milliseconds. */
   private static final long CONTACT_INTERVAL_MILLIS = 1_000;
 
+  /**
+   * The same interval while no host is known, in milliseconds. A seed that starts at the same time
+   * may not listen yet.
+   */
+  private static final long FIRST_CONTACT_INTERVAL_MILLIS = 300;
+
   /**
    * The interval of probes of any live host, in milliseconds. They find a host that failed before
    * its neighbors received a heartbeat.
@@ -145,7 +151,7 @@
       String from, HostGossip gossip, long nowMillis, List<OverlayCommand> commands) {
     long formerVersion = self.version();
     mergeAll(from, gossip.records(), commands);
-    gossip.suspicions().forEach(suspicion -> onSuspicion(suspicion, nowMillis));
+    gossip.suspicions().forEach(suspicion -> onSuspicion(suspicion, nowMillis, commands));
     if (self.version() != formerVersion) {
       // The sender may not be reached by gossip: it may have lost this host.
       send(from, heartbeat(neighbors.contains(from)), commands);
@@ -181,7 +187,9 @@
       return;
     }
     view.put(entry);
-    detector.clearSuspicion(entry.host());
+    if (detector.clearSuspicion(entry.host())) {
+      disconnected.remove(entry.host());
+    }
     recordsToGossip.put(entry.host(), entry);
     reportChange(known, entry, commands);
   }
@@ -207,19 +215,19 @@
     recordsToGossip.put(self.host(), self);
   }
 
-  private void onSuspicion(HostSuspicion suspicion, long nowMillis) {
+  private void onSuspicion(HostSuspicion suspicion, long nowMillis, List<OverlayCommand> commands) {
     if (suspicion.host().equals(self.host())) {
       if (suspicion.version() >= self.version()) {
         raiseVersion(suspicion.version());
       }
       return;
     }
-    boolean concerned =
-        view.find(suspicion.host())
-            .filter(known -> known.version() <= suspicion.version())
-            .isPresent();
-    if (concerned && detector.suspect(suspicion.host(), nowMillis)) {
+    Optional<HostRecord> known =
+        view.find(suspicion.host()).filter(entry -> entry.version() <= suspicion.version());
+    if (known.isPresent() && detector.suspect(suspicion.host(), nowMillis)) {
       suspicionsToGossip.put(suspicion.host(), suspicion);
+      disconnected.add(suspicion.host());
+      commands.add(new OverlayCommand.Suspected(known.get()));
     }
   }
 
@@ -256,7 +264,7 @@
     for (String host : detector.removeUnresponsive(nowMillis)) {
       view.find(host)
           .map(silent -> new HostSuspicion(host, silent.version()))
-          .ifPresent(suspicion -> onSuspicion(suspicion, nowMillis));
+          .ifPresent(suspicion -> onSuspicion(suspicion, nowMillis, commands));
     }
     detector.silentHosts(nowMillis).forEach(host -> probe(host, nowMillis, commands));
     disconnected.forEach(host -> probe(host, nowMillis, commands));
@@ -268,7 +276,9 @@
       neighbors.forEach(host -> send(host, heartbeat(true), commands));
     }
     if (nowMillis >= nextContactAtMillis) {
-      nextContactAtMillis = nowMillis + CONTACT_INTERVAL_MILLIS;
+      boolean alone = view.live().isEmpty();
+      nextContactAtMillis =
+          nowMillis + (alone ? FIRST_CONTACT_INTERVAL_MILLIS : CONTACT_INTERVAL_MILLIS);
       contactAbsentHosts(commands);
     }
     if (nowMillis >= nextRandomProbeAtMillis) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
@@ -21,6 +21,7 @@
   private final PeerSender sender;
   private final Listener listener;
   private Set<String> linkedHosts = Set.of();
+  private long linkedGeneration = -1;
 
   /** Receives what affects the requests of other hosts. */
   interface Listener {
@@ -28,6 +29,9 @@
     /** The engines of a host need another owner, but the host still answers. */
     void onLeaving(String host);
 
+    /** A host may have failed: requests that wait for its answers should not wait longer. */
+    void onUnresponsive(String host);
+
     /** All messages and requests in flight to and from a host are void. */
     void onEnded(String host);
   }
@@ -51,7 +55,9 @@
 
   void tick() {
     execute(overlay.onTick(context.now()));
-    updateLinkedHosts();
+    if (overlay.generation() != linkedGeneration) {
+      updateLinkedHosts();
+    }
   }
 
   void leave() {
@@ -64,6 +70,7 @@
   }
 
   private void updateLinkedHosts() {
+    linkedGeneration = overlay.generation();
     Set<String> hosts = overlay.addresses();
     if (hosts.equals(linkedHosts)) {
       return;
@@ -103,6 +110,9 @@
       } else if (command instanceof OverlayCommand.Leaving leaving) {
         log("host-leaving", leaving.host());
         listener.onLeaving(leaving.host().host());
+      } else if (command instanceof OverlayCommand.Suspected suspected) {
+        log("host-suspected", suspected.host());
+        listener.onUnresponsive(suspected.host().host());
       } else if (command instanceof OverlayCommand.Lost lost) {
         log("host-lost", lost.host());
         listener.onEnded(lost.host().host());
