Check for engines to schedule five times a second, and log links at debug level

Each tick of 50 ms looked at all engines for those to schedule; each link wrote two formatted lines (some 380 a host at the start) beside the event log, in code that is still interpreted; relays sent ten messages a second to each host of their zone.

Change: the check runs each 200 ms, relays send each 200 ms, the lines of links are debug output (the event log has link-lost and the host events).

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -47,6 +47,12 @@
    */
   private static final long JOINING_MILLIS = 1_500;
 
+  /**
+   * The number of ticks between two checks which engines this host has to schedule. The check looks
+   * at all engines.
+   */
+  private static final int TICKS_PER_CHECK = 4;
+
   private final HostContext context;
   private final EngineControl control;
   private final PeerSender peers;
@@ -56,6 +62,7 @@
   private final OrderCounts counts = new OrderCounts();
   private final long createdAtMillis;
   private long lastTickAtMillis;
+  private long ticks;
 
   EngineSchedulers(
       HostContext context,
@@ -157,6 +164,13 @@
       relinquishAll("own-pause");
     }
     lastTickAtMillis = now;
+    if (ticks++ % TICKS_PER_CHECK == 0) {
+      createResponsibleRunners(now);
+    }
+    List.copyOf(runners.values()).forEach(OwnedEngineRunner::tick);
+  }
+
+  private void createResponsibleRunners(long now) {
     boolean joining = now - createdAtMillis < JOINING_MILLIS && state.hosts().liveHosts().isEmpty();
     for (FleetEndpoint engine : state.endpoints().all()) {
       boolean responsible =
@@ -168,7 +182,6 @@
         findOrCreateRunner(engine.incarnation());
       }
     }
-    List.copyOf(runners.values()).forEach(OwnedEngineRunner::tick);
   }
 
   /** Relinquishes all engines. Requests for their resident adapters are still served. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -50,7 +50,7 @@
   private static final long TICK_INTERVAL_MILLIS = 50;
 
   /** The number of ticks between two times at which a relay passes on engine statuses. */
-  private static final int TICKS_PER_RELAY = 2;
+  private static final int TICKS_PER_RELAY = 4;
 
   /** The number of ticks between two updates of the engine statuses. */
   private static final int TICKS_PER_STATUS = 4;
--- a/runtime/src/main/java/org/lentilhinge/runtime/peer/IncomingLink.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/peer/IncomingLink.java
@@ -96,7 +96,7 @@
       return;
     }
     established = true;
-    LOGGER.atInfo().log("link from=%s accepted", sender());
+    LOGGER.atFine().log("link from=%s accepted", sender());
     environment.listener().onAccepted(this, sender());
   }
 
@@ -118,7 +118,7 @@
 
   private void onEnded(LinkFailure failure) {
     environment.metrics().recordEnded(failure);
-    LOGGER.atInfo().log(
+    LOGGER.atFine().log(
         "link from=%s ended reason=%s",
         peerHello.map(receivedHello -> receivedHello.sender().toString()).orElse("unproved"),
         failure);
--- a/runtime/src/main/java/org/lentilhinge/runtime/peer/OutgoingLink.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/peer/OutgoingLink.java
@@ -237,7 +237,7 @@
     queue.clear();
     nextDialAtMillis = environment.now() + backoffMillis();
     failures++;
-    LOGGER.atInfo().log("link peer=%s down reason=%s", peer.host(), failure);
+    LOGGER.atFine().log("link peer=%s down reason=%s", peer.host(), failure);
     Optional<HostIncarnation> previous = establishedPeer;
     establishedPeer = Optional.empty();
     if (previous.isPresent()) {
