Keep what is known of an owner until it is lost, also when its link breaks

Cause (from code and log): a reset link removed all statuses of the host behind it, so that nothing said any longer that the engine was owned; with the exchanged order counts an idle owner's engine can then be taken at once, while the owner goes on with its token. The same removal came with a suspicion. A reset link also released the permits of that host's running requests.

Change: a broken link or a suspicion voids only pending permit requests, and routing passes the host over. Statuses, permits and counts go when the membership loses the host or sees its next life.

Ruled out: a gap in the relays (sever-1 and sever-2 are in one zone of three, served directly).

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -135,7 +135,9 @@
     ControlHttpClient client = new ControlHttpClient(vertx, pool);
     peers = createPeerNetwork(scheduler, startedAtMillis, random);
     PeerSender sender = this::send;
-    overlay = new OverlayRunner(context, state.hosts(), peers, sender, new OverlayListener());
+    overlay =
+        new OverlayRunner(
+            context, state.hosts(), peers::updatePeers, sender, new OverlayListener());
     statuses = new StatusExchange(context, state, new StatusRelay(self), sender);
     permits =
         new PermitClient(
@@ -404,8 +406,8 @@
 
     @Override
     public void onUnresponsive(String host) {
+      // Its engine statuses stay: they keep this host from a takeover while the owner may go on.
       permits.removeHost(host);
-      state.engineSelector().removeHost(host);
     }
 
     @Override
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
@@ -1,7 +1,9 @@
 package org.lentilhinge.runtime.forward;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.lentilhinge.identity.HostId;
 import org.lentilhinge.message.PeerMessage;
 import org.lentilhinge.overlay.HostOverlay;
@@ -10,14 +12,13 @@
 import org.lentilhinge.runtime.peer.LinkChange;
 import org.lentilhinge.runtime.peer.LinkFailure;
 import org.lentilhinge.runtime.peer.PeerAddress;
-import org.lentilhinge.runtime.peer.PeerNetwork;
 
 /** Runs the membership of this host over the peer links, and logs what changes in it. */
 final class OverlayRunner {
 
   private final HostContext context;
   private final HostOverlay overlay;
-  private final PeerNetwork peers;
+  private final Consumer<Collection<PeerAddress>> linkUpdater;
   private final PeerSender sender;
   private final Listener listener;
   private Set<String> linkedHosts = Set.of();
@@ -29,7 +30,10 @@
     /** The engines of a host need another owner, but the host still answers. */
     void onLeaving(String host);
 
-    /** A host may have failed: requests that wait for its answers should not wait longer. */
+    /**
+     * A host may have failed: requests that wait for its answers should not wait longer. The host
+     * may as well still own its engines.
+     */
     void onUnresponsive(String host);
 
     /** All messages and requests in flight to and from a host are void. */
@@ -39,12 +43,12 @@
   OverlayRunner(
       HostContext context,
       HostOverlay overlay,
-      PeerNetwork peers,
+      Consumer<Collection<PeerAddress>> linkUpdater,
       PeerSender sender,
       Listener listener) {
     this.context = context;
     this.overlay = overlay;
-    this.peers = peers;
+    this.linkUpdater = linkUpdater;
     this.sender = sender;
     this.listener = listener;
   }
@@ -78,7 +82,7 @@
     linkedHosts = hosts;
     String ownAddress = context.settings().peerAddress();
     int port = Integer.parseInt(ownAddress.substring(ownAddress.lastIndexOf(':') + 1));
-    peers.updatePeers(
+    linkUpdater.accept(
         hosts.stream().map(host -> new PeerAddress(new HostId(host), false, host, port)).toList());
   }
 
@@ -94,7 +98,7 @@
       context.log().line("link-lost", "peer", host, "why", change.failure());
     }
     overlay.markDisconnected(host);
-    listener.onEnded(host);
+    listener.onUnresponsive(host);
   }
 
   private void execute(List<OverlayCommand> commands) {
