--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -286,7 +286,7 @@
     } else if (message instanceof ListingNews news) {
       follower.receive(news);
     } else if (message instanceof DeclarationNews news) {
-      follower.receive(news);
+      follower.receive(host, news);
     } else {
       overlay.receive(host, message);
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
@@ -111,19 +111,21 @@
   private void followDeclaredState() {
     declarationSchedule.recordStart();
     long sinceRevision = readAll ? -1 : revision;
+    long startedAtMillis = clock.getAsLong();
     (readAll
             ? store.readDeclaredState()
             : store.awaitDeclaredState(revision, LONG_POLL_TIMEOUT_MILLIS))
-        .onSuccess(declared -> onDeclaredState(sinceRevision, declared))
+        .onSuccess(declared -> onDeclaredState(sinceRevision, declared, startedAtMillis))
         .onFailure(this::onDeclarationFailure);
   }
 
-  private void onDeclaredState(long sinceRevision, DeclaredState declared) {
-    declarationSchedule.recordSuccess(clock.getAsLong());
+  private void onDeclaredState(long sinceRevision, DeclaredState declared, long startedAtMillis) {
+    long now = clock.getAsLong();
+    declarationSchedule.recordSuccess(now);
     readAll = false;
     revision = Math.max(revision, declared.revision());
     listener.onRead(declared.revision());
-    listener.onDeclaredState(declared);
+    listener.onDeclaredState(declared, "store", now - startedAtMillis);
     sendIfReader(new DeclarationNews(sinceRevision, declared));
     vertx.runOnContext(unused -> startDueReads());
   }
@@ -153,11 +155,11 @@
   }
 
   /** Handles the changes of the declared state that the zone's reader has read. */
-  void receive(DeclarationNews news) {
+  void receive(String host, DeclarationNews news) {
     DeclaredState changes = news.changes();
     // Newer configurations and versions replace older ones, so that a gap loses nothing already
     // known; what lies in the gap is read by this host itself.
-    listener.onDeclaredState(changes);
+    listener.onDeclaredState(changes, host, 0);
     if (readAll || news.sinceRevision() > revision) {
       declarationSchedule.request();
     } else {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreListener.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreListener.java
@@ -12,8 +12,15 @@
   /** Handles a complete listing of endpoints. */
   void onListing(EndpointListing listing);
 
-  /** Handles the declared state; parts that have not changed may be missing. */
-  void onDeclaredState(DeclaredState declared);
+  /**
+   * Handles the declared state; parts that have not changed may be missing.
+   *
+   * @param declared the declared state
+   * @param source the host that sent it, or {@code store} if this host has read it
+   * @param readMillis the duration of this host's read, including the wait for a change, in
+   *     milliseconds; 0 if another host sent it
+   */
+  void onDeclaredState(DeclaredState declared, String source, long readMillis);
 
   /**
    * Handles a failed read of the store.
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreStateUpdater.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreStateUpdater.java
@@ -1,5 +1,6 @@
 package org.lentilhinge.runtime.forward;
 
+import com.codahale.metrics.MetricRegistry;
 import org.lentilhinge.fleet.FleetChange;
 import org.lentilhinge.forward.ForwardConfiguration;
 import org.lentilhinge.published.AdapterRelease;
@@ -16,6 +17,7 @@
   private final Runnable afterRead;
 
   private boolean listingFailed;
+  private volatile long appliedVersion;
 
   /**
    * Creates an updater.
@@ -33,6 +35,10 @@
     this.schedulers = schedulers;
     this.pool = pool;
     this.afterRead = afterRead;
+    context
+        .metrics()
+        .registerGauge(
+            MetricRegistry.name("forward", "configuration", "version"), () -> appliedVersion);
   }
 
   @Override
@@ -78,8 +84,10 @@
   }
 
   @Override
-  public void onDeclaredState(DeclaredState declared) {
-    declared.configuration().ifPresent(this::applyConfiguration);
+  public void onDeclaredState(DeclaredState declared, String source, long readMillis) {
+    declared
+        .configuration()
+        .ifPresent(configuration -> applyConfiguration(configuration, source, readMillis));
     for (AdapterRelease release : declared.releases()) {
       if (state.recordRelease(release)) {
         context
@@ -95,8 +103,10 @@
     afterRead.run();
   }
 
-  private void applyConfiguration(ForwardConfiguration configuration) {
+  private void applyConfiguration(
+      ForwardConfiguration configuration, String source, long readMillis) {
     if (state.applyConfiguration(configuration)) {
+      appliedVersion = configuration.version();
       context
           .log()
           .line(
@@ -106,7 +116,11 @@
               "routes",
               configuration.routes().size(),
               "services",
-              configuration.services().size());
+              configuration.services().size(),
+              "from",
+              source,
+              "readMs",
+              readMillis);
     }
   }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreFollowerTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreFollowerTest.java
@@ -91,7 +91,7 @@
     }
 
     @Override
-    public void onDeclaredState(DeclaredState declared) {
+    public void onDeclaredState(DeclaredState declared, String source, long readMillis) {
       declared.configuration().ifPresent(configuration -> versions.add(configuration.version()));
     }
 
