Show that hosts of a remote region keep an old configuration, with a test that fails

Callers saw requests handled by an old version, or refused with 404, more than 4 s after a newer one was acknowledged.

From second 5.9 on each plovdiv host logged store-failed 'timed out', and hosts suspected each other by the thousand.

The test drives StoreFollower in virtual time: 3 zones of 12 hosts, 42 Mbit/s to the store's region, 10 Mbit/s a host, transfers take their bytes. It needs an Executor and an interface of the zone in place of Vertx and ZoneReader; nothing else of the code changed.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -147,7 +147,12 @@
     ZoneReader zoneReader = new ZoneReader(context, state, sender);
     follower =
         new StoreFollower(
-            vertx, context.clock(), store, createStoreStateUpdater(), zoneReader, random);
+            task -> vertx.runOnContext(unused -> task.run()),
+            context.clock(),
+            store,
+            createStoreStateUpdater(),
+            zoneReader,
+            random);
     state.setRevisionReader(follower::requestRead);
     forwarder = new Forwarder(context, state, platform.headerTranslator(), pool, permits);
     callerServer = createServer(settings.callerAddress(), forwarder::accept);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
@@ -1,8 +1,8 @@
 package org.lentilhinge.runtime.forward;
 
-import io.vertx.core.Vertx;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import org.lentilhinge.message.PeerMessage;
 import org.lentilhinge.published.DeclarationNews;
@@ -31,11 +31,11 @@
    */
   private static final long LONG_POLL_TIMEOUT_MILLIS = 1_000;
 
-  private final Vertx vertx;
+  private final Executor loop;
   private final LongSupplier clock;
   private final PublishedStore store;
   private final StoreListener listener;
-  private final ZoneReader zone;
+  private final ZoneGroup zone;
   private final ReadSchedule listingSchedule;
   private final ReadSchedule declarationSchedule;
   private final KnownListing knownListing = new KnownListing();
@@ -43,14 +43,24 @@
   private boolean readAll = true;
   private boolean stopped;
 
+  /**
+   * Creates a follower that is driven by ticks.
+   *
+   * @param loop runs tasks on the host's event loop, after the current one
+   * @param clock the monotonic clock, in milliseconds
+   * @param store the published store
+   * @param listener receives what was read or sent by another host
+   * @param zone the hosts of this host's zone
+   * @param random spreads the reads of many hosts
+   */
   StoreFollower(
-      Vertx vertx,
+      Executor loop,
       LongSupplier clock,
       PublishedStore store,
       StoreListener listener,
-      ZoneReader zone,
+      ZoneGroup zone,
       Random random) {
-    this.vertx = vertx;
+    this.loop = loop;
     this.clock = clock;
     this.store = store;
     this.listener = listener;
@@ -127,7 +137,7 @@
     listener.onRead(declared.revision());
     listener.onDeclaredState(declared, "store", now - startedAtMillis);
     sendIfReader(new DeclarationNews(sinceRevision, declared));
-    vertx.runOnContext(unused -> startDueReads());
+    loop.execute(this::startDueReads);
   }
 
   private void onDeclarationFailure(Throwable failure) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ZoneReader.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ZoneReader.java
@@ -6,7 +6,7 @@
 import org.lentilhinge.overlay.HostRecord;
 
 /** Selects the host that reads the published store for its zone, and sends what it has read. */
-final class ZoneReader {
+final class ZoneReader implements ZoneGroup {
 
   private final HostContext context;
   private final HostState state;
@@ -20,8 +20,8 @@
     this.peers = peers;
   }
 
-  /** Returns whether this host reads for its zone. All hosts with the same view agree. */
-  boolean isReader() {
+  @Override
+  public boolean isReader() {
     if (state.hosts().generation() != selectedGeneration) {
       selectedGeneration = state.hosts().generation();
       String zone = context.settings().zone();
@@ -42,7 +42,8 @@
     return reader;
   }
 
-  void sendToZone(PeerMessage news) {
+  @Override
+  public void sendToZone(PeerMessage news) {
     String zone = context.settings().zone();
     state.hosts().liveHosts().stream()
         .filter(host -> host.zone().equals(zone))
--- /dev/null
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/LargeConfigurationTest.java
@@ -0,0 +1,74 @@
+package org.lentilhinge.runtime.forward;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.lentilhinge.forward.ForwardConfiguration;
+import org.lentilhinge.forward.ForwardLimits;
+import org.lentilhinge.forward.ForwardRoute;
+import org.lentilhinge.forward.ForwardService;
+import org.lentilhinge.forward.RequestKind;
+import org.lentilhinge.forward.ServiceShare;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that large configurations reach all hosts of a region without a store in time. */
+public class LargeConfigurationTest {
+
+  /** The time within which a change has to be applied by all hosts, in milliseconds. */
+  private static final long APPLY_MILLIS = 4_000;
+
+  private static final int ROUTES = 1_440;
+  private static final int RESPONSE_BYTES = 450_000;
+
+  @DataProvider
+  public static Object[][] intervals() {
+    return new Object[][] {{330L}, {1_070L}, {3_000L}};
+  }
+
+  private static ForwardConfiguration configuration(long version) {
+    List<ForwardRoute> routes = new ArrayList<>();
+    for (int index = 0; index < ROUTES; index++) {
+      // Each version changes the timeout of one route.
+      long timeoutMillis = index == 700 ? 5_000 + version : 5_000;
+      routes.add(
+          new ForwardRoute(
+              "r-zji9n" + index,
+              "ficu95.example",
+              "/lohu" + index + "/",
+              RequestKind.STREAM,
+              timeoutMillis,
+              1_000,
+              1,
+              List.of(new ServiceShare("huvo11a", 90), new ServiceShare("wuno96b", 10)),
+              1,
+              false));
+    }
+    ForwardService service = new ForwardService("huvo11a", 370, Optional.empty());
+    return new ForwardConfiguration(
+        version, routes, Map.of("huvo11a", service), ForwardLimits.DEFAULT);
+  }
+
+  // Hosts of one region kept an old configuration for good once each of them read the store itself.
+  @Test(dataProvider = "intervals")
+  public void changesInQuickSuccessionReachAllHosts(long intervalMillis) {
+    ZoneSimulation simulation = new ZoneSimulation(42, 10, intervalMillis);
+    simulation.publish(configuration(1), RESPONSE_BYTES);
+    for (int zone = 0; zone < 3; zone++) {
+      simulation.addZone(12);
+    }
+    simulation.runUntil(10_000);
+    long version = 1;
+    for (long now = 10_000; now <= 30_000; now += 10) {
+      if (now < 20_000 && (now - 10_000) / 10 % (intervalMillis / 10) == 0) {
+        version++;
+        simulation.publish(configuration(version), RESPONSE_BYTES);
+      }
+      simulation.runUntil(now);
+      assertEquals(simulation.outdatedHosts(APPLY_MILLIS), 0, "outdated hosts at " + now);
+    }
+  }
+}
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreFollowerTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreFollowerTest.java
@@ -115,7 +115,13 @@
     vertx.runOnContext(
         unused -> {
           StoreFollower follower =
-              new StoreFollower(vertx, context.clock(), store, listener, alone, new Random(1));
+              new StoreFollower(
+                  task -> vertx.runOnContext(ignored -> task.run()),
+                  context.clock(),
+                  store,
+                  listener,
+                  alone,
+                  new Random(1));
           vertx.setPeriodic(TICK_MILLIS, id -> follower.tick());
         });
     return listener;
