Do not cut reads of the store that make progress

Callers of a whole region were served by an old configuration for good.

Cause: each page of the store had to be complete after one second. Once many hosts of a region read a large configuration at once, none of the transfers was, and each began again from the start: the reads filled the link on which they waited. Ruled out: the store (hosts of sofia-c read each version within 0.2 s of its sending), a reader that is behind (followers failed in their own reads). A configuration of the largest size, 1 MB, could not be read at all by a host with a link of 7 to 10 Mbit/s.

Calls to engines keep their limit of a complete response.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
@@ -14,6 +14,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /**
  * Makes the host's own HTTP calls to endpoints and to the store. Each call has a timeout and is not
@@ -29,10 +30,12 @@
 
   private final Vertx vertx;
   private final EndpointPool pool;
+  private final LongSupplier clock;
 
-  ControlHttpClient(Vertx vertx, EndpointPool pool) {
+  ControlHttpClient(Vertx vertx, EndpointPool pool, LongSupplier clock) {
     this.vertx = vertx;
     this.pool = pool;
+    this.clock = clock;
   }
 
   /**
@@ -53,6 +56,32 @@
       Map<String, String> headers,
       Buffer body,
       long timeoutMillis) {
+    ResponseTimeout timeout = ResponseTimeout.ofTotal(timeoutMillis, clock.getAsLong());
+    return call(method, address, target, headers, body, timeout);
+  }
+
+  /**
+   * Reads a response that may be long. The connection is closed once the response makes no
+   * progress.
+   *
+   * @param address the IP address and port
+   * @param target the path and query
+   * @param silenceMillis the maximum wait for the first and for further bytes of the response, in
+   *     milliseconds
+   * @return the response; fails with an {@link IOException} if none is received
+   */
+  public Future<ControlResponse> read(String address, String target, long silenceMillis) {
+    ResponseTimeout timeout = ResponseTimeout.ofSilence(silenceMillis, clock.getAsLong());
+    return call("GET", address, target, Map.of(), Buffer.buffer(), timeout);
+  }
+
+  private Future<ControlResponse> call(
+      String method,
+      String address,
+      String target,
+      Map<String, String> headers,
+      Buffer body,
+      ResponseTimeout timeout) {
     HttpRequest request =
         new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target);
     request.headers().set(HttpHeaderNames.HOST, address);
@@ -60,12 +89,7 @@
     headers.forEach((name, value) -> request.headers().set(name, value));
     Promise<ControlResponse> promise = Promise.promise();
     String description = method + ' ' + address + target;
-    long timer =
-        vertx.setTimer(
-            timeoutMillis,
-            id ->
-                promise.tryFail(new IOException(description + ": timed out waiting for response")));
-    promise.future().onComplete(result -> vertx.cancelTimer(timer));
+    awaitProgress(timeout, description, promise);
     pool.acquire(address)
         .onFailure(
             failure -> promise.tryFail(new IOException(description + ": " + failure.getMessage())))
@@ -74,23 +98,40 @@
               promise.future().onFailure(failure -> connection.cancel());
               if (!promise.future().isComplete()) {
                 ByteBuf bytes = Unpooled.wrappedBuffer(body.getBytes());
-                connection.send(request, bytes, new ResponseCollector(description, promise));
+                connection.send(
+                    request, bytes, new ResponseCollector(description, promise, timeout));
               }
             });
     return promise.future();
   }
 
+  /** Fails the call once its response has made no progress for too long. */
+  private void awaitProgress(
+      ResponseTimeout timeout, String description, Promise<ControlResponse> promise) {
+    long remainingMillis = timeout.remainingMillis(clock.getAsLong());
+    if (remainingMillis <= 0) {
+      promise.tryFail(new IOException(description + ": timed out waiting for response"));
+      return;
+    }
+    long timer =
+        vertx.setTimer(remainingMillis, id -> awaitProgress(timeout, description, promise));
+    promise.future().onComplete(result -> vertx.cancelTimer(timer));
+  }
+
   /** Collects a complete response. */
-  private static final class ResponseCollector implements ResponseHandler {
+  private final class ResponseCollector implements ResponseHandler {
 
     private final String description;
     private final Promise<ControlResponse> promise;
+    private final ResponseTimeout timeout;
     private final Buffer body = Buffer.buffer();
     private int status;
 
-    ResponseCollector(String description, Promise<ControlResponse> promise) {
+    ResponseCollector(
+        String description, Promise<ControlResponse> promise, ResponseTimeout timeout) {
       this.description = description;
       this.promise = promise;
+      this.timeout = timeout;
     }
 
     @Override
@@ -101,10 +142,12 @@
     @Override
     public void onHead(HttpResponse response) {
       status = response.status().code();
+      timeout.recordProgress(clock.getAsLong());
     }
 
     @Override
     public void onData(ByteBuf part) {
+      timeout.recordProgress(clock.getAsLong());
       byte[] bytes = new byte[part.readableBytes()];
       part.getBytes(part.readerIndex(), bytes);
       if (body.length() + bytes.length > MAXIMUM_RESPONSE_BYTES) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -132,7 +132,7 @@
     List<String> seeds = settings.seeds().stream().map(HostNames::ofAddress).toList();
     state = new HostState(context, new HostOverlay(self, seeds, random));
     pool = new EndpointPool(vertx, CONNECT_TIMEOUT_MILLIS, clocks.monotonicMillis());
-    ControlHttpClient client = new ControlHttpClient(vertx, pool);
+    ControlHttpClient client = new ControlHttpClient(vertx, pool, clocks.monotonicMillis());
     peers = createPeerNetwork(scheduler, startedAtMillis, random);
     PeerSender sender = this::send;
     overlay =
