Send the changed routes of a configuration to the zone, not all of it

Callers were served by an old configuration when changes came in quick succession.

Cause: the news of a zone's reader contained the whole configuration. With 1,440 routes each change is some 150 KB to each of 11 hosts, 1.3 s of a 10 Mbit/s link, on which heartbeats wait as well. The other hosts heard nothing for 1.5 s, and each read the store itself over the link between the regions.

Fix: ConfigurationChange holds the routes between the equal beginnings and ends of two configurations; it applies to one version only, and news name the version that results, so that a host with another version reads the store as before. The message has a new tag, as its shape has changed: hosts of the former build ignore it and read.

--- a/core/src/main/java/org/lentilhinge/published/DeclarationNews.java
+++ b/core/src/main/java/org/lentilhinge/published/DeclarationNews.java
@@ -1,5 +1,7 @@
 package org.lentilhinge.published;
 
+import java.util.List;
+import java.util.Optional;
 import org.lentilhinge.message.PeerMessage;
 
 /**
@@ -7,6 +9,30 @@
  *
  * @param sinceRevision the revision after which the changes were made; the receiver must know the
  *     state up to it
- * @param changes the changes, with the revision up to which they are complete
+ * @param revision the revision up to which the changes are complete
+ * @param configurationVersion the version of the sender's configuration; a receiver that has an
+ *     older one after the change must read the store
+ * @param configuration the change of the configuration, if any
+ * @param releases the announced versions of adapters
  */
-public record DeclarationNews(long sinceRevision, DeclaredState changes) implements PeerMessage {}
+public record DeclarationNews(
+    long sinceRevision,
+    long revision,
+    long configurationVersion,
+    Optional<ConfigurationChange> configuration,
+    List<AdapterRelease> releases)
+    implements PeerMessage {
+
+  /**
+   * Copies the list.
+   *
+   * @param sinceRevision the revision after which the changes were made
+   * @param revision the revision up to which they are complete
+   * @param configurationVersion the version of the sender's configuration
+   * @param configuration the change of the configuration
+   * @param releases the announced versions
+   */
+  public DeclarationNews {
+    releases = List.copyOf(releases);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/lentilhinge/published/KnownDeclarationsTest.java
@@ -0,0 +1,114 @@
+package org.lentilhinge.published;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.lentilhinge.forward.ForwardConfiguration;
+import org.lentilhinge.forward.ForwardLimits;
+import org.lentilhinge.forward.ForwardRoute;
+import org.lentilhinge.forward.RequestKind;
+import org.lentilhinge.forward.ServiceShare;
+import org.testng.annotations.Test;
+
+/** Tests that news carry the changes of the configuration only, and that no change is missed. */
+public class KnownDeclarationsTest {
+
+  private static ForwardRoute route(String name, long timeoutMillis) {
+    return new ForwardRoute(
+        name,
+        "h",
+        "/" + name + "/",
+        RequestKind.SAFE,
+        timeoutMillis,
+        100,
+        1,
+        List.of(new ServiceShare("s", 1)),
+        2,
+        false);
+  }
+
+  private static ForwardConfiguration configuration(long version, List<ForwardRoute> routes) {
+    return new ForwardConfiguration(version, routes, Map.of(), ForwardLimits.DEFAULT);
+  }
+
+  private static DeclaredState declared(ForwardConfiguration configuration, long revision) {
+    return new DeclaredState(Optional.of(configuration), List.of(), revision);
+  }
+
+  private static List<ForwardRoute> routes(int count) {
+    List<ForwardRoute> routes = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      routes.add(route("r" + index, 500));
+    }
+    return routes;
+  }
+
+  // News with all routes filled the links of hosts when changes came in quick succession.
+  @Test
+  public void newsOfOneChangedRouteContainThatRouteOnly() {
+    List<ForwardRoute> changed = routes(1_440);
+    changed.set(700, route("r700", 900));
+    KnownDeclarations reader = new KnownDeclarations();
+    reader.update(-1, declared(configuration(1, routes(1_440)), 10));
+    DeclarationNews news = reader.update(10, declared(configuration(2, changed), 11));
+    assertEquals(news.configuration().orElseThrow().routes(), List.of(route("r700", 900)));
+  }
+
+  @Test
+  public void newsRebuildAnyConfiguration() {
+    Random random = new Random(7);
+    for (int round = 0; round < 2_000; round++) {
+      List<ForwardRoute> next = routes(random.nextInt(6));
+      ForwardConfiguration base = configuration(1, List.copyOf(next));
+      for (int edit = random.nextInt(4); edit > 0; edit--) {
+        int index = random.nextInt(next.size() + 1);
+        if (random.nextBoolean() || index == next.size()) {
+          next.add(index, route("r" + random.nextInt(6), random.nextInt(3)));
+        } else {
+          next.remove(index);
+        }
+      }
+      ForwardConfiguration target = configuration(2, next);
+      KnownDeclarations reader = new KnownDeclarations();
+      KnownDeclarations other = new KnownDeclarations();
+      reader.update(-1, declared(base, 10));
+      other.update(-1, declared(base, 10));
+      DeclarationNews news = reader.update(10, declared(target, 11));
+      assertEquals(other.apply(news).configuration(), Optional.of(target), "round " + round);
+      assertTrue(other.isUpToDate(news));
+      assertEquals(other.awaitedRevision(), Optional.of(11L));
+    }
+  }
+
+  // A host that missed one change must not take the next one for complete.
+  @Test
+  public void changeOfUnknownVersionHasToBeRead() {
+    KnownDeclarations reader = new KnownDeclarations();
+    KnownDeclarations other = new KnownDeclarations();
+    reader.update(-1, declared(configuration(1, routes(3)), 10));
+    other.update(-1, declared(configuration(1, routes(3)), 10));
+    reader.update(10, declared(configuration(2, routes(4)), 11));
+    DeclarationNews news = reader.update(-1, declared(configuration(3, routes(5)), 12));
+    assertTrue(other.apply(news).configuration().isEmpty());
+    assertFalse(other.isUpToDate(news));
+    assertEquals(other.awaitedRevision(), Optional.of(10L));
+    other.update(10, declared(configuration(3, routes(5)), 12));
+    assertTrue(other.isUpToDate(news));
+  }
+
+  @Test
+  public void hostWithoutConfigurationReadsTheStore() {
+    KnownDeclarations reader = new KnownDeclarations();
+    KnownDeclarations started = new KnownDeclarations();
+    DeclarationNews news = reader.update(-1, declared(configuration(1, routes(3)), 10));
+    assertTrue(started.apply(news).configuration().isEmpty());
+    assertFalse(started.isUpToDate(news));
+    assertTrue(started.awaitedRevision().isEmpty());
+  }
+}
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
@@ -28,6 +28,6 @@
         .register(10, HostTable.class)
         .register(11, EngineStatuses.class)
         .register(12, ListingNews.class)
-        .register(13, DeclarationNews.class);
+        .register(14, DeclarationNews.class);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
@@ -8,6 +8,7 @@
 import org.lentilhinge.published.DeclarationNews;
 import org.lentilhinge.published.DeclaredState;
 import org.lentilhinge.published.EndpointListing;
+import org.lentilhinge.published.KnownDeclarations;
 import org.lentilhinge.published.KnownListing;
 import org.lentilhinge.published.ListingNews;
 import org.lentilhinge.published.ReadSchedule;
@@ -39,8 +40,7 @@
   private final ReadSchedule listingSchedule;
   private final ReadSchedule declarationSchedule;
   private final KnownListing knownListing = new KnownListing();
-  private long revision = -1;
-  private boolean readAll = true;
+  private final KnownDeclarations knownDeclarations = new KnownDeclarations();
   private boolean stopped;
 
   /**
@@ -120,30 +120,29 @@
 
   private void followDeclaredState() {
     declarationSchedule.recordStart();
-    long sinceRevision = readAll ? -1 : revision;
+    Optional<Long> awaited = knownDeclarations.awaitedRevision();
     long startedAtMillis = clock.getAsLong();
-    (readAll
-            ? store.readDeclaredState()
-            : store.awaitDeclaredState(revision, LONG_POLL_TIMEOUT_MILLIS))
-        .onSuccess(declared -> onDeclaredState(sinceRevision, declared, startedAtMillis))
+    awaited
+        .map(revision -> store.awaitDeclaredState(revision, LONG_POLL_TIMEOUT_MILLIS))
+        .orElseGet(store::readDeclaredState)
+        .onSuccess(declared -> onDeclaredState(awaited.orElse(-1L), declared, startedAtMillis))
         .onFailure(this::onDeclarationFailure);
   }
 
   private void onDeclaredState(long sinceRevision, DeclaredState declared, long startedAtMillis) {
     long now = clock.getAsLong();
     declarationSchedule.recordSuccess(now);
-    readAll = false;
-    revision = Math.max(revision, declared.revision());
+    DeclarationNews news = knownDeclarations.update(sinceRevision, declared);
     listener.onRead(declared.revision());
     listener.onDeclaredState(declared, "store", now - startedAtMillis);
-    sendIfReader(new DeclarationNews(sinceRevision, declared));
+    sendIfReader(news);
     loop.execute(this::startDueReads);
   }
 
   private void onDeclarationFailure(Throwable failure) {
     declarationSchedule.recordFailure(clock.getAsLong());
     // After any failure all declarations are read again: the lost response may contain a change.
-    readAll = true;
+    knownDeclarations.invalidate();
     listener.onFailure("declarations", String.valueOf(failure.getMessage()));
   }
 
@@ -166,15 +165,11 @@
 
   /** Handles the changes of the declared state that the zone's reader has read. */
   void receive(String host, DeclarationNews news) {
-    DeclaredState changes = news.changes();
-    // Newer configurations and versions replace older ones, so that a gap loses nothing already
-    // known; what lies in the gap is read by this host itself.
-    listener.onDeclaredState(changes, host, 0);
-    if (readAll || news.sinceRevision() > revision) {
-      declarationSchedule.request();
-    } else {
-      revision = Math.max(revision, changes.revision());
+    listener.onDeclaredState(knownDeclarations.apply(news), host, 0);
+    if (knownDeclarations.isUpToDate(news)) {
       declarationSchedule.recordNews(clock.getAsLong());
+    } else {
+      declarationSchedule.request();
     }
   }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/LargeConfigurationTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/LargeConfigurationTest.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -12,6 +13,10 @@
 import org.lentilhinge.forward.ForwardService;
 import org.lentilhinge.forward.RequestKind;
 import org.lentilhinge.forward.ServiceShare;
+import org.lentilhinge.published.DeclarationNews;
+import org.lentilhinge.published.DeclaredState;
+import org.lentilhinge.published.KnownDeclarations;
+import org.lentilhinge.runtime.peer.MessageCodec;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -21,6 +26,9 @@
   /** The time within which a change has to be applied by all hosts, in milliseconds. */
   private static final long APPLY_MILLIS = 4_000;
 
+  /** The bytes that a host may spend on control in a second. */
+  private static final int CONTROL_BYTES_PER_SECOND = 9_000;
+
   private static final int ROUTES = 1_440;
   private static final int RESPONSE_BYTES = 450_000;
 
@@ -30,8 +38,12 @@
   }
 
   private static ForwardConfiguration configuration(long version) {
+    return configuration(version, ROUTES);
+  }
+
+  private static ForwardConfiguration configuration(long version, int count) {
     List<ForwardRoute> routes = new ArrayList<>();
-    for (int index = 0; index < ROUTES; index++) {
+    for (int index = 0; index < count; index++) {
       // Each version changes the timeout of one route.
       long timeoutMillis = index == 700 ? 5_000 + version : 5_000;
       routes.add(
@@ -71,4 +83,28 @@
       assertEquals(simulation.outdatedHosts(APPLY_MILLIS), 0, "outdated hosts at " + now);
     }
   }
+
+  @Test
+  public void manyRoutesAddedAtOnceReachAllHosts() {
+    ZoneSimulation simulation = new ZoneSimulation(42, 10, 1);
+    simulation.publish(configuration(1, 40), RESPONSE_BYTES * 40 / ROUTES);
+    for (int zone = 0; zone < 3; zone++) {
+      simulation.addZone(12);
+    }
+    simulation.runUntil(10_000);
+    simulation.publish(configuration(2), RESPONSE_BYTES);
+    simulation.runUntil(10_000 + APPLY_MILLIS);
+    assertEquals(simulation.outdatedHosts(APPLY_MILLIS), 0);
+  }
+
+  // Each change was sent with all routes, 200 KB to each host of a zone.
+  @Test
+  public void newsOfOneChangeKeepToTheBytesForControl() {
+    KnownDeclarations reader = new KnownDeclarations();
+    reader.update(-1, new DeclaredState(Optional.of(configuration(1)), List.of(), 10));
+    DeclarationNews news =
+        reader.update(10, new DeclaredState(Optional.of(configuration(2)), List.of(), 11));
+    int bytes = new MessageCodec(ForwardMessages.registry()).encode(news).length;
+    assertTrue(bytes <= CONTROL_BYTES_PER_SECOND, bytes + " bytes");
+  }
 }
