--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -132,6 +132,13 @@
     }
   }
 
+  private List<String> sharedParts() {
+    return requestMetadata
+        .generation()
+        .map(RequestMetadata.Generation::sharedParts)
+        .orElse(List.of());
+  }
+
   private boolean trySpendRetry() {
     return state
         .retryBudgetShare(service)
@@ -164,7 +171,7 @@
 
   private void requestPermit() {
     RequestMetadata.Generation generation =
-        requestMetadata.generation().orElse(new RequestMetadata.Generation("", "", 0, 0));
+        requestMetadata.generation().orElse(RequestMetadata.Generation.UNKNOWN);
     List<FleetEndpoint> engines = state.endpoints().usableEndpoints(service);
     Optional<FleetEndpoint> selected =
         state
@@ -322,7 +329,9 @@
         "pauseMs",
         endedAttempt.longestPauseMillis(),
         "tookMs",
-        endedAttempt.elapsedMillis());
+        endedAttempt.elapsedMillis(),
+        "parts",
+        String.join(",", sharedParts()));
     attempt = Optional.empty();
     releasePermit(permitOutcome(outcome, endedAttempt.status()), endedAttempt.firstEventMillis());
     if (finished) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestMetadata.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestMetadata.java
@@ -1,5 +1,6 @@
 package org.lentilhinge.runtime.forward;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -24,6 +25,25 @@
    * @param adapter the name of the adapter, or an empty string for the base model alone
    * @param promptTokens the number of tokens of the prompt
    * @param outputTokens the maximum number of tokens to generate
+   * @param sharedParts the ids of the parts of the prompt that other prompts have, too
    */
-  public record Generation(String model, String adapter, int promptTokens, int outputTokens) {}
+  public record Generation(
+      String model, String adapter, int promptTokens, int outputTokens, List<String> sharedParts) {
+
+    /** A generation about which the request says nothing. */
+    static final Generation UNKNOWN = new Generation("", "", 0, 0, List.of());
+
+    /**
+     * Copies the parts.
+     *
+     * @param model the base model
+     * @param adapter the name of the adapter
+     * @param promptTokens the number of tokens of the prompt
+     * @param outputTokens the maximum number of tokens to generate
+     * @param sharedParts the ids of the shared parts
+     */
+    public Generation {
+      sharedParts = List.copyOf(sharedParts);
+    }
+  }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/PlainHeaderTranslator.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/PlainHeaderTranslator.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -13,7 +14,8 @@
     return new RequestMetadata(
         Optional.ofNullable(headers.get("X-Id")),
         deadline == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadline)),
-        Optional.empty(),
+        Optional.ofNullable(headers.get("X-Parts"))
+            .map(parts -> new RequestMetadata.Generation("m", "", 1, 1, List.of(parts.split(",")))),
         Optional.ofNullable(headers.get("X-Resume")));
   }
 
