--- /dev/null
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/FatalPromptTest.java
@@ -0,0 +1,80 @@
+package org.lentilhinge.runtime.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Tests over sockets that requests which crash endpoints are refused. */
+public class FatalPromptTest {
+
+  private static final String HEAD =
+      "HTTP/1.1 200 OK\r\nX-Id: i\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n";
+  private static final int ENDPOINTS = 6;
+
+  private Vertx vertx;
+
+  @BeforeClass
+  public void start() {
+    vertx = Vertx.vertx();
+  }
+
+  @AfterClass
+  public void stop() {
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  /** Crashes as soon as it begins the response to a request with the fatal part. */
+  private static void respond(NetSocket socket, String request) {
+    String events = request.contains("fatal") ? "" : "id: 1\ndata: x\n\n";
+    if (events.isEmpty()) {
+      socket.write(HEAD + "id: 1").onSuccess(unused -> socket.close());
+    } else {
+      socket.end(Buffer.buffer(HEAD + events));
+    }
+  }
+
+  private static String request(String parts) {
+    return ForwardFixture.request("POST", "/stream/x", "i", "body")
+        .replace("\r\nConnection", "\r\nX-Parts: " + parts + "\r\nConnection");
+  }
+
+  // Requests with one part in their prompts crashed back ends one after the other.
+  @Test
+  public void fatalPartIsNotSentToFurtherEndpoints() throws IOException {
+    List<ScriptedEndpoint> endpoints = new ArrayList<>();
+    for (int index = 0; index < ENDPOINTS; index++) {
+      endpoints.add(new ScriptedEndpoint(vertx, FatalPromptTest::respond));
+    }
+    List<String> addresses = endpoints.stream().map(ScriptedEndpoint::address).toList();
+    try (ForwardFixture fixture = new ForwardFixture(vertx, addresses)) {
+      for (int count = 0; count < 120; count++) {
+        assertTrue(fixture.send(request("common,sound")).startsWith("HTTP/1.1 200"));
+      }
+      int crashes = 0;
+      String response = "";
+      while (crashes < 2 * ENDPOINTS && !response.startsWith("HTTP/1.1 503")) {
+        fixture.advance(400);
+        response = fixture.send(request("common,fatal"));
+        crashes++;
+      }
+      long fatal =
+          endpoints.stream()
+              .flatMap(endpoint -> endpoint.requests().stream())
+              .filter(text -> text.contains("fatal"))
+              .count();
+      assertEquals(fatal, 3);
+      assertTrue(response.contains("quarantined-prompt"), response);
+      assertTrue(response.contains("retry-after: 599"), response);
+      assertTrue(fixture.send(request("common,sound")).startsWith("HTTP/1.1 200"));
+    }
+  }
+}
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.lentilhinge.fleet.EndpointState;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.ForwardConfiguration;
@@ -37,6 +38,7 @@
   private final HostContext context;
   private final HostState state;
   private final Forwarder forwarder;
+  private final AtomicLong advancedMillis = new AtomicLong();
   private volatile Optional<Runnable> afterNextRequest = Optional.empty();
 
   ForwardFixture(Vertx vertx, List<String> endpoints) {
@@ -51,7 +53,7 @@
         new HostContext(
             vertx,
             settings(),
-            () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+            () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) + advancedMillis.get(),
             new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
             new MetricRegistry());
     state = new HostState(context, overlay(settings()));
@@ -207,6 +209,11 @@
     return count.join();
   }
 
+  /** Advances the host's clock, without any timer. */
+  void advance(long millis) {
+    advancedMillis.addAndGet(millis);
+  }
+
   /** Starts a planned stop on the event loop. */
   void stop() {
     CompletableFuture<Void> done = new CompletableFuture<>();
