Refuse requests whose prompt parts crash engines

Callers of all kinds lost their running answers as engine after engine ended; the last requests were broken off by the nineteenth.

Cause: nothing connected a crash with the prompts at the engine, and no host told another of it. Each request with the fatal part was given the next free engine. Ruled out: own retries (one attempt each), orders and memory (none precede).

Fix: hosts send each other the shared parts of requests that broke at the beginning of a response, and which of these parts survived since. The refusal is a true 'not run' with the time left. Relays as for engine statuses; their selection moved to RelaySelector unchanged.

--- a/core/src/main/java/org/lentilhinge/permit/StatusRelay.java
+++ b/core/src/main/java/org/lentilhinge/permit/StatusRelay.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,9 +9,9 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import org.lentilhinge.lease.RendezvousHash;
 import org.lentilhinge.overlay.HostRecord;
 import org.lentilhinge.overlay.OverlayCommand;
+import org.lentilhinge.overlay.RelaySelector;
 
 /**
  * Distributes engine statuses to all hosts. The host that runs a scheduler sends its statuses to
@@ -22,12 +21,6 @@
  */
 public final class StatusRelay {
 
-  /** Zones with up to this number of other hosts receive statuses without a relay. */
-  private static final int DIRECT_HOSTS = 4;
-
-  /** The number of relays of a zone, which divide the sending hosts among them. */
-  private static final int RELAYS = 2;
-
   /**
    * The interval at which unchanged statuses are sent, in milliseconds. Receivers ignore statuses
    * that are 2.5 s old, so one message may be lost.
@@ -38,6 +31,7 @@
   private static final long BACKLOG_TOLERANCE_MILLIS = 20;
 
   private final HostRecord self;
+  private final RelaySelector selector;
   private final Map<String, SentStatus> sent = new HashMap<>();
   private final Map<String, Collected> collected = new TreeMap<>();
 
@@ -61,6 +55,7 @@
    */
   public StatusRelay(HostRecord self) {
     this.self = self;
+    this.selector = new RelaySelector(self);
   }
 
   /**
@@ -115,48 +110,16 @@
 
   private List<OverlayCommand.Send> distribute(
       OwnerStatuses own, Collection<HostRecord> hosts, Predicate<String> reachable) {
-    Map<String, List<HostRecord>> zones = new TreeMap<>();
-    hosts.forEach(
-        host -> zones.computeIfAbsent(host.zone(), unused -> new ArrayList<>()).add(host));
     List<OverlayCommand.Send> messages = new ArrayList<>();
-    zones.forEach(
-        (zone, members) -> {
-          if (members.size() <= DIRECT_HOSTS) {
-            EngineStatuses direct = new EngineStatuses(List.of(own), false);
-            members.forEach(host -> messages.add(new OverlayCommand.Send(host.host(), direct)));
-          } else {
-            sendToRelay(own, zone, members, reachable, messages);
-          }
-        });
-    return messages;
-  }
-
-  private void sendToRelay(
-      OwnerStatuses own,
-      String zone,
-      List<HostRecord> members,
-      Predicate<String> reachable,
-      List<OverlayCommand.Send> messages) {
-    List<HostRecord> candidates = new ArrayList<>(members);
-    if (zone.equals(self.zone())) {
-      candidates.add(self);
-    }
-    String key = zone + '/' + Math.floorMod(RendezvousHash.hash(self.host()), RELAYS);
-    Optional<HostRecord> relay =
-        candidates.stream()
-            .filter(host -> !host.leaving() && reachable.test(host.host()))
-            .max(
-                Comparator.<HostRecord, Long>comparing(
-                        host -> RendezvousHash.weight(key, host.host()), Long::compareUnsigned)
-                    .thenComparing(HostRecord::host));
-    if (relay.filter(host -> host.host().equals(self.host())).isPresent()) {
-      collect(own);
-    } else {
-      relay.ifPresent(
-          host ->
-              messages.add(
-                  new OverlayCommand.Send(host.host(), new EngineStatuses(List.of(own), true))));
+    for (RelaySelector.Target target : selector.select(hosts, reachable)) {
+      if (target.host().equals(self.host())) {
+        collect(own);
+      } else {
+        EngineStatuses message = new EngineStatuses(List.of(own), target.relays());
+        messages.add(new OverlayCommand.Send(target.host(), message));
+      }
     }
+    return messages;
   }
 
   /**
--- /dev/null
+++ b/core/src/main/java/org/lentilhinge/quarantine/PromptObservations.java
@@ -0,0 +1,26 @@
+package org.lentilhinge.quarantine;
+
+import java.util.List;
+import org.lentilhinge.message.PeerMessage;
+
+/**
+ * Observations of one host on their way to all hosts.
+ *
+ * @param host the host that made them
+ * @param relayed whether the receiver passes them on to the other hosts of its zone
+ * @param observations the observations
+ */
+public record PromptObservations(String host, boolean relayed, List<PromptObservation> observations)
+    implements PeerMessage {
+
+  /**
+   * Copies the list.
+   *
+   * @param host the host that made the observations
+   * @param relayed whether the receiver passes them on
+   * @param observations the observations
+   */
+  public PromptObservations {
+    observations = List.copyOf(observations);
+  }
+}
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -31,6 +31,9 @@
    */
   private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 421, 429, 503);
 
+  /** The number of groups of events after which a response is known to go on. */
+  private static final int PROCEEDING_EVENT_GROUPS = 2;
+
   private static final String NO_CONNECTION = "no-connection";
   private static final String EVENT_STREAM = "text/event-stream";
 
@@ -55,6 +58,8 @@
   private boolean streaming;
   private boolean finished;
   private long firstEventMillis;
+  private int eventGroups;
+  private boolean brokenOff;
   private long lastEventMillis;
   private long longestPauseMillis;
 
@@ -87,6 +92,17 @@
     return firstEventMillis;
   }
 
+  long startedAtMillis() {
+    return startedAtMillis;
+  }
+
+  /**
+   * Indicates whether the endpoint broke off before the response went on after its first events.
+   */
+  boolean isBrokenAtBeginning() {
+    return brokenOff && eventGroups < PROCEEDING_EVENT_GROUPS;
+  }
+
   int status() {
     return response.map(httpResponse -> httpResponse.status().code()).orElse(0);
   }
@@ -184,6 +200,10 @@
     if (complete.isReadable()) {
       recordEventTime();
       startStream();
+      eventGroups++;
+      if (eventGroups == PROCEEDING_EVENT_GROUPS) {
+        request.onResponseProceeds(this);
+      }
       exchange.write(complete);
     }
     if (events.isTooLong()) {
@@ -252,10 +272,14 @@
 
   private void endStream() {
     if (events.isMidEvent()) {
+      brokenOff = true;
       fail("broken-event");
     } else {
       startStream();
       exchange.end();
+      if (eventGroups < PROCEEDING_EVENT_GROUPS) {
+        request.onResponseProceeds(this);
+      }
       end(AttemptOutcome.ANSWERED, "whole");
     }
   }
@@ -263,6 +287,7 @@
   @Override
   public void onFailure(String reason) {
     if (!finished) {
+      brokenOff = true;
       end(AttemptOutcome.UNKNOWN, reason);
     }
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -21,6 +21,7 @@
 import org.lentilhinge.message.PeerMessage;
 import org.lentilhinge.overlay.HostOverlay;
 import org.lentilhinge.overlay.HostRecord;
+import org.lentilhinge.overlay.RelaySelector;
 import org.lentilhinge.permit.EngineStatuses;
 import org.lentilhinge.permit.OwnerStatuses;
 import org.lentilhinge.permit.PermitAnswer;
@@ -29,6 +30,8 @@
 import org.lentilhinge.permit.StatusRelay;
 import org.lentilhinge.published.DeclarationNews;
 import org.lentilhinge.published.ListingNews;
+import org.lentilhinge.quarantine.PromptObservations;
+import org.lentilhinge.quarantine.PromptQuarantine;
 import org.lentilhinge.runtime.metric.MetricExposition;
 import org.lentilhinge.runtime.peer.MessageCodec;
 import org.lentilhinge.runtime.peer.PeerMetrics;
@@ -89,6 +92,7 @@
   private final EngineSchedulers schedulers;
   private final EndpointPool pool;
   private final StoreFollower follower;
+  private final QuarantineRunner quarantine;
   private final Forwarder forwarder;
   private final CallerServer callerServer;
   private final List<CallerServer> operationsServers;
@@ -154,7 +158,11 @@
             zoneReader,
             random);
     state.setRevisionReader(follower::requestRead);
-    forwarder = new Forwarder(context, state, platform.headerTranslator(), pool, permits);
+    quarantine =
+        new QuarantineRunner(
+            context, state, new PromptQuarantine(random), new RelaySelector(self), sender);
+    forwarder =
+        new Forwarder(context, state, platform.headerTranslator(), pool, permits, quarantine);
     callerServer = createServer(settings.callerAddress(), forwarder::accept);
     operationsServers = createOperationsServers(settings);
   }
@@ -292,6 +300,8 @@
       follower.receive(news);
     } else if (message instanceof DeclarationNews news) {
       follower.receive(host, news);
+    } else if (message instanceof PromptObservations observations) {
+      quarantine.receive(observations);
     } else {
       overlay.receive(host, message);
     }
@@ -329,6 +339,7 @@
 
   private void runPeriodicTasks() {
     schedulers.publishStatuses();
+    quarantine.sendUnsent();
     pool.closeExpiredConnections();
     callerServer.closeExpiredConnections();
     operationsServers.forEach(CallerServer::closeExpiredConnections);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
@@ -10,6 +10,7 @@
 import org.lentilhinge.permit.PermitReturn;
 import org.lentilhinge.published.DeclarationNews;
 import org.lentilhinge.published.ListingNews;
+import org.lentilhinge.quarantine.PromptObservations;
 import org.lentilhinge.runtime.peer.MessageRegistry;
 
 /** The tags of the messages of the forwarding path. A tag is never reused for another type. */
@@ -28,6 +29,7 @@
         .register(10, HostTable.class)
         .register(11, EngineStatuses.class)
         .register(12, ListingNews.class)
-        .register(14, DeclarationNews.class);
+        .register(14, DeclarationNews.class)
+        .register(15, PromptObservations.class);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -43,6 +43,7 @@
   private static final long DEFAULT_RETRY_MILLIS = 400;
 
   private static final int MAXIMUM_URGENCY_RANK = 9;
+  private static final String QUARANTINED = "quarantined-prompt";
 
   private final Forwarder forwarder;
   private final HostContext context;
@@ -123,6 +124,8 @@
     }
     if (remainingMillis() < MINIMUM_ATTEMPT_MILLIS) {
       onDeadline();
+    } else if (isQuarantined()) {
+      fail(QUARANTINED);
     } else if (progress.isRetry() && !trySpendRetry()) {
       fail("no-retry-budget");
     } else if (state.service(service).flatMap(ForwardService::engine).isPresent()) {
@@ -132,6 +135,10 @@
     }
   }
 
+  private boolean isQuarantined() {
+    return forwarder.quarantine().remainingMillis(sharedParts()).isPresent();
+  }
+
   private List<String> sharedParts() {
     return requestMetadata
         .generation()
@@ -232,6 +239,10 @@
     if (finished) {
       return;
     }
+    if (answer.granted() && isQuarantined()) {
+      fail(QUARANTINED);
+      return;
+    }
     if (answer.granted()) {
       startAttempt(engine, version == 0 ? OptionalLong.empty() : OptionalLong.of(version));
       return;
@@ -280,6 +291,13 @@
         .update(context.now() - arrivedAtMillis, TimeUnit.MILLISECONDS);
   }
 
+  /** Records that the response of an endpoint went on after its beginning, or is complete. */
+  void onResponseProceeds(EndpointAttempt current) {
+    forwarder
+        .quarantine()
+        .recordSurvived(current.endpoint().incarnation(), sharedParts(), current.startedAtMillis());
+  }
+
   /**
    * Keeps the response of an endpoint that failed, if another endpoint may be tried. It is passed
    * on if no other endpoint has responded after the time that a response is expected to take.
@@ -334,6 +352,11 @@
         String.join(",", sharedParts()));
     attempt = Optional.empty();
     releasePermit(permitOutcome(outcome, endedAttempt.status()), endedAttempt.firstEventMillis());
+    if (outcome == AttemptOutcome.UNKNOWN && endedAttempt.isBrokenAtBeginning()) {
+      forwarder
+          .quarantine()
+          .recordBroken(endpoint.incarnation(), sharedParts(), endedAttempt.startedAtMillis());
+    }
     if (finished) {
       return;
     }
@@ -411,10 +434,7 @@
       FailedResponse failure = failedResponse.get();
       exchange.respond(failure.status(), failure.headers(), failure.body());
     } else if (progress.isCertainlyNotRun()) {
-      long maximumDelayMillis = Math.max(0, remainingMillis()) / 3;
-      long delayMillis =
-          Math.min(retryAfterMillis.orElse(DEFAULT_RETRY_MILLIS), maximumDelayMillis);
-      exchange.respond(503, Optional.of(delayMillis), reason);
+      exchange.respond(503, Optional.of(retryDelayMillis()), reason);
     } else if (reason.equals("out-of-time")) {
       exchange.respond(504, Optional.empty(), reason);
     } else {
@@ -422,6 +442,16 @@
     }
   }
 
+  /** Returns the time after which the caller should send the request again, in milliseconds. */
+  private long retryDelayMillis() {
+    OptionalLong quarantineMillis = forwarder.quarantine().remainingMillis(sharedParts());
+    if (quarantineMillis.isPresent()) {
+      return quarantineMillis.getAsLong();
+    }
+    long maximumDelayMillis = Math.max(0, remainingMillis()) / 3;
+    return Math.min(retryAfterMillis.orElse(DEFAULT_RETRY_MILLIS), maximumDelayMillis);
+  }
+
   private void finish(String outcome) {
     finished = true;
     context.vertx().cancelTimer(deadlineTimer);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -19,6 +19,7 @@
   private final HeaderTranslator headerTranslator;
   private final EndpointPool pool;
   private final PermitClient permits;
+  private final QuarantineRunner quarantine;
   private final StartupRequestBuffer startupBuffer;
 
   Forwarder(
@@ -26,12 +27,14 @@
       HostState state,
       HeaderTranslator headerTranslator,
       EndpointPool pool,
-      PermitClient permits) {
+      PermitClient permits,
+      QuarantineRunner quarantine) {
     this.context = context;
     this.state = state;
     this.headerTranslator = headerTranslator;
     this.pool = pool;
     this.permits = permits;
+    this.quarantine = quarantine;
     this.startupBuffer = new StartupRequestBuffer(context.now());
   }
 
@@ -55,6 +58,10 @@
     return permits;
   }
 
+  QuarantineRunner quarantine() {
+    return quarantine;
+  }
+
   void count(String name) {
     context.metrics().counter(MetricRegistry.name("forward", name)).inc();
   }
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/QuarantineRunner.java
@@ -0,0 +1,110 @@
+package org.lentilhinge.runtime.forward;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.lentilhinge.overlay.HostRecord;
+import org.lentilhinge.overlay.RelaySelector;
+import org.lentilhinge.quarantine.PromptObservation;
+import org.lentilhinge.quarantine.PromptObservations;
+import org.lentilhinge.quarantine.PromptQuarantine;
+import org.lentilhinge.quarantine.QuarantineChange;
+
+/** Runs the quarantine of prompts: exchanges the observations of all hosts, and logs changes. */
+final class QuarantineRunner {
+
+  private final HostContext context;
+  private final HostState state;
+  private final PromptQuarantine quarantine;
+  private final RelaySelector relays;
+  private final PeerSender peers;
+
+  QuarantineRunner(
+      HostContext context,
+      HostState state,
+      PromptQuarantine quarantine,
+      RelaySelector relays,
+      PeerSender peers) {
+    this.context = context;
+    this.state = state;
+    this.quarantine = quarantine;
+    this.relays = relays;
+    this.peers = peers;
+  }
+
+  /** Returns how long requests with these parts are refused; empty if they may be sent. */
+  OptionalLong remainingMillis(List<String> parts) {
+    return quarantine.remainingMillis(parts, context.now());
+  }
+
+  /** Records that the connection of a request ended before its response went on. */
+  void recordBroken(String incarnation, List<String> parts, long startedAtMillis) {
+    logChange(quarantine.recordBroken(incarnation, parts, startedAtMillis, context.now()));
+    sendUnsent();
+  }
+
+  /** Records that the response of a request went on. */
+  void recordSurvived(String incarnation, List<String> parts, long startedAtMillis) {
+    logChange(quarantine.recordSurvived(incarnation, parts, startedAtMillis, context.now()));
+  }
+
+  /** Handles the observations of another host, and passes them on if this host is their relay. */
+  void receive(PromptObservations message) {
+    if (message.relayed()) {
+      passOn(message);
+    }
+    for (PromptObservation observation : message.observations()) {
+      logChange(quarantine.receive(observation, context.now()));
+    }
+  }
+
+  private void passOn(PromptObservations message) {
+    PromptObservations passedOn =
+        new PromptObservations(message.host(), false, message.observations());
+    for (HostRecord host : state.hosts().liveHosts()) {
+      if (host.zone().equals(context.settings().zone()) && !host.host().equals(message.host())) {
+        peers.send(host.host(), passedOn);
+      }
+    }
+  }
+
+  /** Sends what the other hosts do not know yet. Must be called several times per second. */
+  void sendUnsent() {
+    List<PromptObservation> observations = quarantine.takeUnsent(context.now());
+    if (observations.isEmpty()) {
+      return;
+    }
+    for (RelaySelector.Target target :
+        relays.select(state.hosts().liveHosts(), state.hosts()::isConnected)) {
+      PromptObservations message =
+          new PromptObservations(context.host(), target.relays(), observations);
+      if (target.host().equals(context.host())) {
+        passOn(message);
+      } else {
+        peers.send(target.host(), message);
+      }
+    }
+  }
+
+  private void logChange(Optional<QuarantineChange> changed) {
+    if (changed.isEmpty()) {
+      return;
+    }
+    QuarantineChange change = changed.get();
+    context
+        .metrics()
+        .counter(MetricRegistry.name("forward", "quarantine", change.cause().name()))
+        .inc();
+    context
+        .log()
+        .line(
+            "quarantine",
+            "why",
+            change.cause(),
+            "parts",
+            String.join(",", change.parts()),
+            "crashes",
+            change.crashes());
+  }
+}
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -25,6 +25,8 @@
 import org.lentilhinge.forward.ServiceShare;
 import org.lentilhinge.overlay.HostOverlay;
 import org.lentilhinge.overlay.HostRecord;
+import org.lentilhinge.overlay.RelaySelector;
+import org.lentilhinge.quarantine.PromptQuarantine;
 
 /** A server for callers and a forwarder on real sockets, with scripted endpoints. */
 final class ForwardFixture implements AutoCloseable {
@@ -59,7 +61,12 @@
     state = new HostState(context, overlay(settings()));
     EndpointPool pool = new EndpointPool(vertx, 1_000, context.clock());
     PermitClient permits = new PermitClient((host, message) -> {}, 0);
-    forwarder = new Forwarder(context, state, new PlainHeaderTranslator(), pool, permits);
+    RelaySelector relays = new RelaySelector(new HostRecord("10.0.0.1", "a", "north", 1, 1, false));
+    QuarantineRunner quarantine =
+        new QuarantineRunner(
+            context, state, new PromptQuarantine(new Random(1)), relays, (host, message) -> {});
+    forwarder =
+        new Forwarder(context, state, new PlainHeaderTranslator(), pool, permits, quarantine);
     CompletableFuture<CallerServer> created = new CompletableFuture<>();
     loop = vertx.getOrCreateContext();
     CompletableFuture<Integer> listening = new CompletableFuture<>();
