Let the hosts of a zone read one after the other when its reader is late

Callers of a whole region were served by an old configuration.

Cause: a host that heard nothing from its zone's reader for 1.5 s read the store itself, and so did all others of the zone at the same moment. 36 reads of 450 KB on one link between regions took 3 to 8 s each, the readers' own among them, so that the news were late again.

Fix: a host's further patience is 0.5 s for each rank in its zone (2.5 s at most); the first one reads for the zone and sends what it read, as the reader does. Reads after a gap in the news are a tenth of a second apart and are left out if later news close the gap. A read that a takeover of an engine needs is made at once as before.

changesAfterManyRoutesWereAddedReachAllHosts (half of the link left to control) failed before with 36 of 36 hosts outdated at 15.5 s, and passes. ReadScheduleTest: the flag 'reader' became a rank, bounds unchanged; two new checks.

--- a/core/src/main/java/org/lentilhinge/published/ReadSchedule.java
+++ b/core/src/main/java/org/lentilhinge/published/ReadSchedule.java
@@ -1,11 +1,13 @@
 package org.lentilhinge.published;
 
+import java.util.OptionalLong;
 import java.util.Random;
 
 /**
  * Decides when this host reads one kind of published data itself: always if it is the reader of its
- * zone, else only if it has received no news for some time or needs a read for another reason.
- * Failed reads are repeated with exponential backoff.
+ * zone, else only if it has received no news for some time or needs a read for another reason. The
+ * hosts of a zone do so one after the other by their rank, because reads of all of them would delay
+ * each other. Failed reads are repeated with exponential backoff.
  */
 public final class ReadSchedule {
 
@@ -15,6 +17,18 @@
    */
   private static final long SILENCE_MILLIS = 1_500;
 
+  /**
+   * The further time without news for each rank, in milliseconds. The host before has read the
+   * store and sent news by then, unless it has failed, too.
+   */
+  private static final long SILENCE_PER_RANK_MILLIS = 500;
+
+  /** The maximum of that time, in milliseconds. */
+  private static final long MAXIMUM_FURTHER_SILENCE_MILLIS = 2_500;
+
+  /** The delay of a read after a gap in the news for each rank, in milliseconds. */
+  private static final long GAP_PER_RANK_MILLIS = 100;
+
   /**
    * The first backoff after a failure, in milliseconds. The backoff limits the load on a failing
    * store, and stays short enough for changes to arrive in time.
@@ -30,6 +44,7 @@
   private final Random random;
   private boolean inProgress;
   private boolean wanted = true;
+  private OptionalLong gapSinceMillis = OptionalLong.empty();
   private long nextReadAtMillis = Long.MIN_VALUE;
   private long newsAtMillis;
   private int failures;
@@ -48,20 +63,50 @@
   /**
    * Returns whether a read is to be started.
    *
-   * @param reader whether this host reads for its zone
+   * @param rank the number of hosts of the zone that read before this host; 0 for its reader
    * @param nowMillis the monotonic time, in milliseconds
    * @return whether the read is due and none is in progress
    */
-  public boolean isDue(boolean reader, long nowMillis) {
-    boolean needed = reader || wanted || nowMillis - newsAtMillis > SILENCE_MILLIS;
+  public boolean isDue(int rank, long nowMillis) {
+    boolean needed = rank == 0 || wanted || hasGap(rank, nowMillis) || isSilent(rank, nowMillis);
     return needed && !inProgress && nowMillis >= nextReadAtMillis;
   }
 
-  /** Requests one read, subject to the interval and the backoff. */
+  private boolean hasGap(int rank, long nowMillis) {
+    return gapSinceMillis.isPresent()
+        && nowMillis - gapSinceMillis.getAsLong() >= (rank - 1) * GAP_PER_RANK_MILLIS;
+  }
+
+  /**
+   * Returns whether this host has received no news for so long that it reads for its zone.
+   *
+   * @param rank the number of hosts of the zone that read before this host
+   * @param nowMillis the monotonic time, in milliseconds
+   * @return whether the reader and all hosts before this one seem to have failed
+   */
+  public boolean isSilent(int rank, long nowMillis) {
+    long furtherMillis =
+        Math.min(MAXIMUM_FURTHER_SILENCE_MILLIS, (rank - 1) * SILENCE_PER_RANK_MILLIS);
+    return nowMillis - newsAtMillis > SILENCE_MILLIS + furtherMillis;
+  }
+
+  /** Requests one read of this host's own, subject to the interval and the backoff. */
   public void request() {
     wanted = true;
   }
 
+  /**
+   * Requests one read because news do not fit what this host knows. Later news may make it
+   * unnecessary.
+   *
+   * @param nowMillis the monotonic time, in milliseconds
+   */
+  public void requestAfterGap(long nowMillis) {
+    if (gapSinceMillis.isEmpty()) {
+      gapSinceMillis = OptionalLong.of(nowMillis);
+    }
+  }
+
   /** Records that a read was started. */
   public void recordStart() {
     inProgress = true;
@@ -75,6 +120,7 @@
   public void recordSuccess(long nowMillis) {
     inProgress = false;
     wanted = false;
+    gapSinceMillis = OptionalLong.empty();
     failures = 0;
     newsAtMillis = nowMillis;
     nextReadAtMillis = nowMillis + jittered(intervalMillis);
@@ -93,12 +139,13 @@
   }
 
   /**
-   * Records that news of another host were applied.
+   * Records that news of another host were applied, after which this host knows all that it knows.
    *
    * @param nowMillis the monotonic time, in milliseconds
    */
   public void recordNews(long nowMillis) {
     newsAtMillis = nowMillis;
+    gapSinceMillis = OptionalLong.empty();
   }
 
   /** Shortens a time by a random amount of up to a tenth, to spread the reads of many hosts. */
--- a/core/src/test/java/org/lentilhinge/published/ReadScheduleTest.java
+++ b/core/src/test/java/org/lentilhinge/published/ReadScheduleTest.java
@@ -18,7 +18,7 @@
 
   private ReadSchedule initialized() {
     ReadSchedule schedule = new ReadSchedule(1_000, random);
-    assertTrue(schedule.isDue(false, 0), "the first read is due at once");
+    assertTrue(schedule.isDue(1, 0), "the first read is due at once");
     schedule.recordStart();
     schedule.recordSuccess(0);
     return schedule;
@@ -27,10 +27,10 @@
   @Test
   public void readerReadsAtItsInterval() {
     ReadSchedule schedule = initialized();
-    assertFalse(schedule.isDue(true, 850));
-    assertTrue(schedule.isDue(true, 1_000));
+    assertFalse(schedule.isDue(0, 850));
+    assertTrue(schedule.isDue(0, 1_000));
     schedule.recordStart();
-    assertFalse(schedule.isDue(true, 5_000), "a read is in progress");
+    assertFalse(schedule.isDue(0, 5_000), "a read is in progress");
   }
 
   @Test
@@ -40,7 +40,7 @@
       if (now % 1_000 == 0) {
         schedule.recordNews(now);
       }
-      assertFalse(schedule.isDue(false, now), "at " + now);
+      assertFalse(schedule.isDue(1, now), "at " + now);
     }
   }
 
@@ -48,8 +48,32 @@
   public void hostWithoutNewsReadsItselfWithinTwoSeconds() {
     ReadSchedule schedule = initialized();
     schedule.recordNews(1_000);
-    assertFalse(schedule.isDue(false, 2_400));
-    assertTrue(schedule.isDue(false, 3_000));
+    assertFalse(schedule.isDue(1, 2_400));
+    assertTrue(schedule.isDue(1, 3_000));
+  }
+
+  // When a reader was late, all hosts of its zone read the store and delayed each other's reads.
+  @Test
+  public void hostsReadOneAfterTheOtherWithoutNews() {
+    ReadSchedule second = initialized();
+    ReadSchedule third = initialized();
+    ReadSchedule last = initialized();
+    assertTrue(second.isDue(1, 1_600));
+    assertFalse(third.isDue(2, 1_600));
+    assertTrue(third.isDue(2, 2_100));
+    assertFalse(last.isDue(11, 3_900));
+    assertTrue(last.isDue(11, 4_100));
+  }
+
+  @Test
+  public void newsMakeReadAfterGapUnnecessary() {
+    ReadSchedule schedule = initialized();
+    schedule.recordNews(1_000);
+    schedule.requestAfterGap(1_500);
+    assertFalse(schedule.isDue(3, 1_690));
+    assertTrue(schedule.isDue(3, 1_700));
+    schedule.recordNews(1_750);
+    assertFalse(schedule.isDue(3, 2_000));
   }
 
   @Test
@@ -57,11 +81,11 @@
     ReadSchedule schedule = initialized();
     schedule.recordNews(1_500);
     schedule.request();
-    assertTrue(schedule.isDue(false, 1_500));
+    assertTrue(schedule.isDue(1, 1_500));
     schedule.recordStart();
     schedule.recordSuccess(1_600);
     schedule.recordNews(2_600);
-    assertFalse(schedule.isDue(false, 2_700));
+    assertFalse(schedule.isDue(1, 2_700));
   }
 
   @Test
@@ -69,7 +93,7 @@
     ReadSchedule schedule = initialized();
     List<Long> reads = new ArrayList<>();
     for (long now = 1_000; now < 11_000; now += STEP_MILLIS) {
-      if (schedule.isDue(true, now)) {
+      if (schedule.isDue(0, now)) {
         reads.add(now);
         schedule.recordStart();
         schedule.recordFailure(now);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
@@ -4,7 +4,6 @@
 import java.util.Random;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
-import org.lentilhinge.message.PeerMessage;
 import org.lentilhinge.published.DeclarationNews;
 import org.lentilhinge.published.DeclaredState;
 import org.lentilhinge.published.EndpointListing;
@@ -16,7 +15,7 @@
 /**
  * Follows the published store. The reader of a zone lists all endpoints at a fixed interval and
  * awaits changes of the operators' declarations by long polling; it sends what has changed to the
- * other hosts of its zone, which read for themselves while they receive nothing.
+ * other hosts of its zone. While they receive nothing, the next hosts by rank read in its place.
  */
 final class StoreFollower {
 
@@ -88,19 +87,20 @@
       return;
     }
     long now = clock.getAsLong();
-    if (listingSchedule.isDue(zone.isReader(), now)) {
+    if (listingSchedule.isDue(zone.rank(), now)) {
       listEndpoints();
     }
-    if (declarationSchedule.isDue(zone.isReader(), now)) {
+    if (declarationSchedule.isDue(zone.rank(), now)) {
       followDeclaredState();
     }
   }
 
   private void listEndpoints() {
+    boolean forZone = isReadForZone(listingSchedule);
     listingSchedule.recordStart();
     store
         .listEndpoints()
-        .onSuccess(this::onListing)
+        .onSuccess(listing -> onListing(listing, forZone))
         .onFailure(
             failure -> {
               listingSchedule.recordFailure(clock.getAsLong());
@@ -108,35 +108,51 @@
             });
   }
 
-  private void onListing(EndpointListing listing) {
+  /** Returns whether a read that starts now is in place of the hosts with a lower rank. */
+  private boolean isReadForZone(ReadSchedule schedule) {
+    return zone.rank() == 0 || schedule.isSilent(zone.rank(), clock.getAsLong());
+  }
+
+  private void onListing(EndpointListing listing, boolean forZone) {
     listingSchedule.recordSuccess(clock.getAsLong());
     listener.onRead(listing.revision());
     Optional<ListingNews> news = knownListing.replace(listing);
     if (news.isPresent()) {
       listener.onListing(listing);
-      sendIfReader(news.get());
+      if (forZone) {
+        zone.sendToZone(news.get());
+      }
     }
   }
 
   private void followDeclaredState() {
+    boolean forZone = isReadForZone(declarationSchedule);
     declarationSchedule.recordStart();
     Optional<Long> awaited = knownDeclarations.awaitedRevision();
     long startedAtMillis = clock.getAsLong();
     awaited
         .map(revision -> store.awaitDeclaredState(revision, LONG_POLL_TIMEOUT_MILLIS))
         .orElseGet(store::readDeclaredState)
-        .onSuccess(declared -> onDeclaredState(awaited.orElse(-1L), declared, startedAtMillis))
+        .onSuccess(
+            declared -> {
+              DeclarationNews news =
+                  onDeclaredState(awaited.orElse(-1L), declared, startedAtMillis);
+              if (forZone) {
+                zone.sendToZone(news);
+              }
+            })
         .onFailure(this::onDeclarationFailure);
   }
 
-  private void onDeclaredState(long sinceRevision, DeclaredState declared, long startedAtMillis) {
+  private DeclarationNews onDeclaredState(
+      long sinceRevision, DeclaredState declared, long startedAtMillis) {
     long now = clock.getAsLong();
     declarationSchedule.recordSuccess(now);
     DeclarationNews news = knownDeclarations.update(sinceRevision, declared);
     listener.onRead(declared.revision());
     listener.onDeclaredState(declared, "store", now - startedAtMillis);
-    sendIfReader(news);
     loop.execute(this::startDueReads);
+    return news;
   }
 
   private void onDeclarationFailure(Throwable failure) {
@@ -146,12 +162,6 @@
     listener.onFailure("declarations", String.valueOf(failure.getMessage()));
   }
 
-  private void sendIfReader(PeerMessage news) {
-    if (zone.isReader()) {
-      zone.sendToZone(news);
-    }
-  }
-
   /** Handles the changes between two listings of the zone's reader. */
   void receive(ListingNews news) {
     Optional<EndpointListing> listing = knownListing.apply(news);
@@ -159,7 +169,7 @@
       listingSchedule.recordNews(clock.getAsLong());
       listener.onListing(listing.get());
     } else {
-      listingSchedule.request();
+      listingSchedule.requestAfterGap(clock.getAsLong());
     }
   }
 
@@ -169,7 +179,7 @@
     if (knownDeclarations.isUpToDate(news)) {
       declarationSchedule.recordNews(clock.getAsLong());
     } else {
-      declarationSchedule.request();
+      declarationSchedule.requestAfterGap(clock.getAsLong());
     }
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ZoneReader.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ZoneReader.java
@@ -1,9 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
-import java.util.List;
 import org.lentilhinge.lease.RendezvousHash;
 import org.lentilhinge.message.PeerMessage;
-import org.lentilhinge.overlay.HostRecord;
 
 /** Selects the host that reads the published store for its zone, and sends what it has read. */
 final class ZoneReader implements ZoneGroup {
@@ -12,7 +10,7 @@
   private final HostState state;
   private final PeerSender peers;
   private long selectedGeneration = -1;
-  private boolean reader;
+  private int rank;
 
   ZoneReader(HostContext context, HostState state, PeerSender peers) {
     this.context = context;
@@ -21,25 +19,20 @@
   }
 
   @Override
-  public boolean isReader() {
+  public int rank() {
     if (state.hosts().generation() != selectedGeneration) {
       selectedGeneration = state.hosts().generation();
       String zone = context.settings().zone();
-      List<String> members =
-          state.hosts().candidates().stream()
-              .filter(host -> host.zone().equals(zone))
-              .map(HostRecord::host)
-              .toList();
-      reader =
-          members.stream()
-              .max(
-                  (first, second) ->
-                      Long.compareUnsigned(
-                          RendezvousHash.weight(zone, first), RendezvousHash.weight(zone, second)))
-              .filter(context.host()::equals)
-              .isPresent();
+      long ownWeight = RendezvousHash.weight(zone, context.host());
+      rank =
+          (int)
+              state.hosts().candidates().stream()
+                  .filter(host -> host.zone().equals(zone))
+                  .map(host -> RendezvousHash.weight(zone, host.host()))
+                  .filter(weight -> Long.compareUnsigned(weight, ownWeight) > 0)
+                  .count();
     }
-    return reader;
+    return rank;
   }
 
   @Override
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/LargeConfigurationTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/LargeConfigurationTest.java
@@ -97,6 +97,28 @@
     assertEquals(simulation.outdatedHosts(APPLY_MILLIS), 0);
   }
 
+  // The hosts of a zone whose reader was late all read the store, which made all of them late.
+  @Test
+  public void changesAfterManyRoutesWereAddedReachAllHosts() {
+    // Requests take half of the link between the regions.
+    ZoneSimulation simulation = new ZoneSimulation(21, 10, 1);
+    simulation.publish(configuration(1, 40), RESPONSE_BYTES * 40 / ROUTES);
+    for (int zone = 0; zone < 3; zone++) {
+      simulation.addZone(12);
+    }
+    simulation.runUntil(10_000);
+    simulation.publish(configuration(2), RESPONSE_BYTES);
+    long version = 2;
+    for (long now = 10_000; now <= 35_000; now += 10) {
+      if (now >= 11_500 && now < 25_000 && (now - 11_500) % 1_070 == 0) {
+        version++;
+        simulation.publish(configuration(version), RESPONSE_BYTES);
+      }
+      simulation.runUntil(now);
+      assertEquals(simulation.outdatedHosts(APPLY_MILLIS), 0, "outdated hosts at " + now);
+    }
+  }
+
   // Each change was sent with all routes, 200 KB to each host of a zone.
   @Test
   public void newsOfOneChangeKeepToTheBytesForControl() {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ZoneSimulation.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ZoneSimulation.java
@@ -234,8 +234,8 @@
     }
 
     @Override
-    public boolean isReader() {
-      return index == 0;
+    public int rank() {
+      return index;
     }
 
     @Override
