Keep the time of a quarantine when other hosts announce it

A host replaced its quarantine by each announcement with a later start, and an announcement's start is later by the time on the way: callers could have been refused for longer than the ten minutes, up to no end with slow links. A host with an active quarantine now only notes that it was announced. announcementsOfOthersDoNotProlongQuarantine failed before and passes. An unused method is removed.

--- a/core/src/main/java/org/lentilhinge/quarantine/BrokenRequests.java
+++ b/core/src/main/java/org/lentilhinge/quarantine/BrokenRequests.java
@@ -79,10 +79,6 @@
     this.retentionMillis = retentionMillis;
   }
 
-  boolean isEmpty() {
-    return requests.isEmpty();
-  }
-
   /**
    * Adds a broken request, which this host or another one observed, unless its engine crashed on
    * parts in quarantine.
--- a/core/src/main/java/org/lentilhinge/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/lentilhinge/quarantine/PromptQuarantine.java
@@ -214,7 +214,8 @@
   private Optional<QuarantineChange> adopt(
       Set<String> parts, long sinceMillis, long evidenceSinceMillis, long nowMillis) {
     Quarantine known = quarantines.get(parts);
-    if (known != null && known.sinceMillis >= sinceMillis) {
+    if (known != null && known.isActive(nowMillis)) {
+      // Its own time is kept: that of the announcement is later by the time on the way.
       known.announceAtMillis = nextAnnouncement(nowMillis);
       return Optional.empty();
     }
@@ -231,14 +232,12 @@
       send(PromptObservation.Kind.SURVIVED, "", List.copyOf(parts), nowMillis, nowMillis);
       return Optional.empty();
     }
-    boolean active = known != null && known.isActive(nowMillis);
-    put(parts, new Quarantine(sinceMillis, evidenceSinceMillis));
-    quarantines.get(parts).announceAtMillis = nextAnnouncement(nowMillis);
+    Quarantine adopted = new Quarantine(sinceMillis, evidenceSinceMillis);
+    adopted.announceAtMillis = nextAnnouncement(nowMillis);
+    put(parts, adopted);
     broken.removeExplained(parts);
-    return active
-        ? Optional.empty()
-        : Optional.of(
-            new QuarantineChange(QuarantineChange.Cause.OTHER_HOST, List.copyOf(parts), 0));
+    return Optional.of(
+        new QuarantineChange(QuarantineChange.Cause.OTHER_HOST, List.copyOf(parts), 0));
   }
 
   private Optional<QuarantineChange> lift(Collection<String> survivedParts, long atMillis) {
--- a/core/src/test/java/org/lentilhinge/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/lentilhinge/quarantine/PromptQuarantineTest.java
@@ -134,6 +134,21 @@
     assertTrue(host.receive(outdated, 2_400).isEmpty());
   }
 
+  // Each announcement was under way for some time, which made the quarantine longer and longer.
+  @Test
+  public void announcementsOfOthersDoNotProlongQuarantine() {
+    quarantineFatal();
+    long agesMillis = 0;
+    for (long now = 3_000; now < 600_000; now += 1_000) {
+      agesMillis += 500;
+      PromptObservation late =
+          new PromptObservation(
+              PromptObservation.Kind.QUARANTINED, "", List.of("fatal"), agesMillis, agesMillis);
+      assertTrue(host.receive(late, now).isEmpty());
+    }
+    assertTrue(host.remainingMillis(FATAL, 2_000 + 600_000).isEmpty());
+  }
+
   // Without an end a repaired engine would never serve the part again.
   @Test
   public void quarantineEndsAndOneCrashRestartsIt() {
