Do not send the first listing of a started host to its zone

Since hosts read in place of a late reader, a host that had just started took itself for such a one, as it had never had news, and sent its whole first listing to all hosts of its zone. Callers were not affected; after a restart of a zone it would be twelve times twelve such messages. A host that has had neither a read nor news does not read for its zone. firstReadIsNotForTheZone failed before and passes.

--- a/core/src/main/java/org/lentilhinge/published/ReadSchedule.java
+++ b/core/src/main/java/org/lentilhinge/published/ReadSchedule.java
@@ -46,7 +46,7 @@
   private boolean wanted = true;
   private OptionalLong gapSinceMillis = OptionalLong.empty();
   private long nextReadAtMillis = Long.MIN_VALUE;
-  private long newsAtMillis;
+  private OptionalLong newsAtMillis = OptionalLong.empty();
   private int failures;
 
   /**
@@ -82,12 +82,14 @@
    *
    * @param rank the number of hosts of the zone that read before this host
    * @param nowMillis the monotonic time, in milliseconds
-   * @return whether the reader and all hosts before this one seem to have failed
+   * @return whether the reader and all hosts before this one seem to have failed; not before the
+   *     first read or news, which other hosts need not share
    */
   public boolean isSilent(int rank, long nowMillis) {
     long furtherMillis =
         Math.min(MAXIMUM_FURTHER_SILENCE_MILLIS, (rank - 1) * SILENCE_PER_RANK_MILLIS);
-    return nowMillis - newsAtMillis > SILENCE_MILLIS + furtherMillis;
+    return newsAtMillis.isPresent()
+        && nowMillis - newsAtMillis.getAsLong() > SILENCE_MILLIS + furtherMillis;
   }
 
   /** Requests one read of this host's own, subject to the interval and the backoff. */
@@ -122,7 +124,7 @@
     wanted = false;
     gapSinceMillis = OptionalLong.empty();
     failures = 0;
-    newsAtMillis = nowMillis;
+    newsAtMillis = OptionalLong.of(nowMillis);
     nextReadAtMillis = nowMillis + jittered(intervalMillis);
   }
 
@@ -144,7 +146,7 @@
    * @param nowMillis the monotonic time, in milliseconds
    */
   public void recordNews(long nowMillis) {
-    newsAtMillis = nowMillis;
+    newsAtMillis = OptionalLong.of(nowMillis);
     gapSinceMillis = OptionalLong.empty();
   }
 
--- a/core/src/test/java/org/lentilhinge/published/ReadScheduleTest.java
+++ b/core/src/test/java/org/lentilhinge/published/ReadScheduleTest.java
@@ -65,6 +65,18 @@
     assertTrue(last.isDue(11, 4_100));
   }
 
+  // A host that had just started sent the whole listing to its zone, which knew it already.
+  @Test
+  public void firstReadIsNotForTheZone() {
+    ReadSchedule schedule = new ReadSchedule(1_000, random);
+    assertTrue(schedule.isDue(2, 500_000));
+    assertFalse(schedule.isSilent(2, 500_000));
+    schedule.recordStart();
+    schedule.recordSuccess(500_000);
+    assertFalse(schedule.isSilent(2, 501_500));
+    assertTrue(schedule.isSilent(2, 502_100));
+  }
+
   @Test
   public void newsMakeReadAfterGapUnnecessary() {
     ReadSchedule schedule = initialized();
