Do not pass on a stream without any event as complete

Callers could receive an empty, complete 200 from an engine that ended right after the head of such a stream and closed in order; and the quarantine took it for a request that survived, so that the fatal part would have gone on to further engines. A stream without an event is broken off now ('no-event' in attempt), and a stream of one group of events counts as survived only if it states its own end.

fatalPartIsNotSentToFurtherEndpoints with an end right after the head failed before (200) and passes; its sound responses now have a length, which they lacked, as the case of an end by closing is the fatal one.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vertx.core.AsyncResult;
 import java.util.Optional;
@@ -271,19 +272,26 @@
   }
 
   private void endStream() {
-    if (events.isMidEvent()) {
+    if (events.isMidEvent() || eventGroups == 0) {
       brokenOff = true;
-      fail("broken-event");
+      fail(events.isMidEvent() ? "broken-event" : "no-event");
     } else {
       startStream();
       exchange.end();
-      if (eventGroups < PROCEEDING_EVENT_GROUPS) {
+      if (eventGroups < PROCEEDING_EVENT_GROUPS && isDelimited()) {
         request.onResponseProceeds(this);
       }
       end(AttemptOutcome.ANSWERED, "whole");
     }
   }
 
+  /** Indicates whether the response states its end itself, other than by closing the connection. */
+  private boolean isDelimited() {
+    HttpResponse httpResponse = response.orElseThrow();
+    return HttpUtil.isTransferEncodingChunked(httpResponse)
+        || HttpUtil.isContentLengthSet(httpResponse);
+  }
+
   @Override
   public void onFailure(String reason) {
     if (!finished) {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/FatalPromptTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/FatalPromptTest.java
@@ -1,16 +1,17 @@
 package org.lentilhinge.runtime.forward;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests over sockets that requests which crash endpoints are refused. */
@@ -32,13 +33,19 @@
     vertx.close().toCompletionStage().toCompletableFuture().join();
   }
 
+  @DataProvider
+  public static Object[][] beginnings() {
+    return new Object[][] {{"id: 1"}, {""}};
+  }
+
   /** Crashes as soon as it begins the response to a request with the fatal part. */
-  private static void respond(NetSocket socket, String request) {
-    String events = request.contains("fatal") ? "" : "id: 1\ndata: x\n\n";
-    if (events.isEmpty()) {
-      socket.write(HEAD + "id: 1").onSuccess(unused -> socket.close());
+  private static void respond(NetSocket socket, String request, String beginning) {
+    if (request.contains("fatal")) {
+      socket.write(HEAD + beginning).onSuccess(unused -> socket.close());
     } else {
-      socket.end(Buffer.buffer(HEAD + events));
+      String events = "id: 1\ndata: x\n\n";
+      String length = "Content-Length: " + events.length() + "\r\n\r\n";
+      socket.write(HEAD.substring(0, HEAD.length() - 2) + length + events);
     }
   }
 
@@ -48,11 +55,12 @@
   }
 
   // Requests with one part in their prompts crashed back ends one after the other.
-  @Test
-  public void fatalPartIsNotSentToFurtherEndpoints() throws IOException {
+  @Test(dataProvider = "beginnings")
+  public void fatalPartIsNotSentToFurtherEndpoints(String beginning) throws IOException {
     List<ScriptedEndpoint> endpoints = new ArrayList<>();
     for (int index = 0; index < ENDPOINTS; index++) {
-      endpoints.add(new ScriptedEndpoint(vertx, FatalPromptTest::respond));
+      endpoints.add(
+          new ScriptedEndpoint(vertx, (socket, request) -> respond(socket, request, beginning)));
     }
     List<String> addresses = endpoints.stream().map(ScriptedEndpoint::address).toList();
     try (ForwardFixture fixture = new ForwardFixture(vertx, addresses)) {
@@ -64,6 +72,7 @@
       while (crashes < 2 * ENDPOINTS && !response.startsWith("HTTP/1.1 503")) {
         fixture.advance(400);
         response = fixture.send(request("common,fatal"));
+        assertFalse(response.startsWith("HTTP/1.1 200"), response);
         crashes++;
       }
       long fatal =
