Read the request limit that an endpoint states, and log it

The log could not show which response named a limit, so that a host which ignores the limit and one which does not know of it looked alike. The limit is read with the other metadata of a response as a typed value (RequestLimit) and written as limit= in the lines of attempts. No decision uses it yet.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -19,6 +19,7 @@
 import org.lentilhinge.forward.AttemptOutcome;
 import org.lentilhinge.forward.ForwardRoute;
 import org.lentilhinge.forward.RequestKind;
+import org.lentilhinge.limit.RequestLimit;
 
 /**
  * One attempt of a request at one endpoint. The events of a stream are passed to the caller as soon
@@ -108,6 +109,16 @@
     return response.map(httpResponse -> httpResponse.status().code()).orElse(0);
   }
 
+  /**
+   * Returns the request limit that the response states; empty if there is none or it is unknown.
+   */
+  Optional<RequestLimit> requestLimit() {
+    return response
+        .map(httpResponse -> forwarder.headerTranslator().responseMetadata(httpResponse.headers()))
+        .flatMap(ResponseMetadata::requestLimit)
+        .filter(limit -> !limit.isUnlimited());
+  }
+
   long elapsedMillis() {
     return forwarder.context().now() - startedAtMillis;
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -349,7 +349,9 @@
         "tookMs",
         endedAttempt.elapsedMillis(),
         "parts",
-        String.join(",", sharedParts()));
+        String.join(",", sharedParts()),
+        "limit",
+        endedAttempt.requestLimit().map(limit -> String.valueOf(limit.perSecond())).orElse("none"));
     attempt = Optional.empty();
     releasePermit(permitOutcome(outcome, endedAttempt.status()), endedAttempt.firstEventMillis());
     if (outcome == AttemptOutcome.UNKNOWN && endedAttempt.isBrokenAtBeginning()) {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/PlainHeaderTranslator.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/PlainHeaderTranslator.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.lentilhinge.limit.RequestLimit;
 
 /** A header translator for tests, with short header names. */
 final class PlainHeaderTranslator implements HeaderTranslator {
@@ -31,6 +32,10 @@
     return new ResponseMetadata(
         headers.contains("X-Not-Executed"),
         headers.contains("X-Signature"),
-        Optional.ofNullable(headers.get("X-Id")));
+        Optional.ofNullable(headers.get("X-Id")),
+        Optional.of(
+            headers.contains("X-Limit")
+                ? new RequestLimit(Double.parseDouble(headers.get("X-Limit")))
+                : RequestLimit.UNLIMITED));
   }
 }
