Order the states of the store by era and revision

Cause: a revision alone was taken as the order of the states of the store. Ruled out: the backoff after the outage (at most 0.8 s) and a watch that hangs (410 leads to a complete reading; configurations were applied in time).

Change: StoreRevision (era, revision) is the one order, in listings, watches, registrations, news between hosts (new message types, so that earlier builds ignore them) and fencing tokens, whose number rises across a restore. Pages or a watch of two eras are read again. DeclaredVersion orders configurations: a restored older one is not applied, a number that is given again after a restore is. Servers missing in the copy are kept for two seconds, servers that had ended before are not used again for being in the copy, and a host that has just started keeps missing servers for two seconds, as it does not know how long the store has been up (missingEntryIsRemovedAtOnceWhileTheStoreIsUp begins its listings a second earlier for this reason). Logs: store-restored, store-era, era in each revision.

--- a/core/src/main/java/org/lentilhinge/fleet/EndpointRegistry.java
+++ b/core/src/main/java/org/lentilhinge/fleet/EndpointRegistry.java
@@ -4,10 +4,13 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import org.lentilhinge.identity.StoreRevision;
 
 /**
  * The registered endpoints, updated from complete listings of the store. An incarnation that has
@@ -25,10 +28,22 @@
   /** The gap between two listings above which a store outage is assumed, in milliseconds. */
   private static final long MAXIMUM_LISTING_GAP_MILLIS = 2_500;
 
+  /**
+   * The time after a restore of the store, in milliseconds, after which its entries of endpoints
+   * that no longer run have expired. Until then, entries of endpoints that had gone are ignored.
+   */
+  private static final long STALE_ENTRY_MILLIS = 5_000;
+
+  /** The number of gone incarnations that are remembered. */
+  private static final int MAXIMUM_GONE_INCARNATIONS = 10_000;
+
   private final Map<String, FleetEndpoint> endpoints = new HashMap<>();
+  private final Set<String> goneIncarnations = new LinkedHashSet<>();
   private final Set<String> drainingIncarnations = new HashSet<>();
   private Optional<Long> listedAtMillis = Optional.empty();
   private long storeRecoveredAtMillis;
+  private long era;
+  private OptionalLong restoredAtMillis = OptionalLong.empty();
 
   /** Creates an empty registry. */
   public EndpointRegistry() {
@@ -39,20 +54,33 @@
    * Updates the registry from a complete listing.
    *
    * @param listing all registrations
+   * @param revision the state of the store at the time of the listing
    * @param nowMillis the current time, in milliseconds
    * @return the changes
    */
-  public List<FleetChange> updateFromListing(Collection<FleetEndpoint> listing, long nowMillis) {
-    if (listedAtMillis.isPresent()
-        && nowMillis - listedAtMillis.get() > MAXIMUM_LISTING_GAP_MILLIS) {
+  public List<FleetChange> updateFromListing(
+      Collection<FleetEndpoint> listing, StoreRevision revision, long nowMillis) {
+    if (revision.era() > era && listedAtMillis.isPresent()) {
+      restoredAtMillis = OptionalLong.of(nowMillis);
+      storeRecoveredAtMillis = nowMillis;
+    }
+    // A host that has just started does not know how long the store has been up.
+    boolean outage =
+        listedAtMillis
+            .map(lastMillis -> nowMillis - lastMillis > MAXIMUM_LISTING_GAP_MILLIS)
+            .orElse(true);
+    if (outage) {
       storeRecoveredAtMillis = nowMillis;
     }
+    era = revision.era();
     listedAtMillis = Optional.of(nowMillis);
     List<FleetChange> changes = new ArrayList<>();
     Set<String> listedIds = new HashSet<>();
     for (FleetEndpoint entry : listing) {
       listedIds.add(entry.id());
-      register(entry, changes);
+      if (!isStale(entry, nowMillis)) {
+        register(entry, changes);
+      }
     }
     if (nowMillis - storeRecoveredAtMillis >= REREGISTRATION_MILLIS) {
       removeMissing(listedIds, changes);
@@ -60,12 +88,19 @@
     return changes;
   }
 
+  /** Indicates whether an entry is of an endpoint that had gone before the store was restored. */
+  private boolean isStale(FleetEndpoint entry, long nowMillis) {
+    return goneIncarnations.contains(entry.incarnation())
+        && restoredAtMillis.isPresent()
+        && nowMillis - restoredAtMillis.getAsLong() < STALE_ENTRY_MILLIS;
+  }
+
   private void register(FleetEndpoint entry, List<FleetChange> changes) {
     FleetEndpoint former = endpoints.get(entry.id());
     boolean outdated =
         former != null
             && (entry.startedAtMillis() < former.startedAtMillis()
-                || entry.revision() < former.revision());
+                || entry.revision().isBefore(former.revision()));
     if (outdated) {
       return;
     }
@@ -73,8 +108,9 @@
     boolean sameIncarnation = former != null && former.incarnation().equals(entry.incarnation());
     if (!sameIncarnation) {
       if (former != null) {
-        changes.add(new FleetChange(FleetChange.Kind.GONE, former));
+        recordGone(former, changes);
       }
+      goneIncarnations.remove(entry.incarnation());
       changes.add(new FleetChange(FleetChange.Kind.JOINED, entry));
     }
     if (entry.state() == EndpointState.DRAINING && drainingIncarnations.add(entry.incarnation())) {
@@ -86,11 +122,19 @@
     for (FleetEndpoint registered : List.copyOf(endpoints.values())) {
       if (!listedIds.contains(registered.id())) {
         endpoints.remove(registered.id());
-        changes.add(new FleetChange(FleetChange.Kind.GONE, registered));
+        recordGone(registered, changes);
       }
     }
   }
 
+  private void recordGone(FleetEndpoint endpoint, List<FleetChange> changes) {
+    changes.add(new FleetChange(FleetChange.Kind.GONE, endpoint));
+    goneIncarnations.add(endpoint.incarnation());
+    if (goneIncarnations.size() > MAXIMUM_GONE_INCARNATIONS) {
+      goneIncarnations.remove(goneIncarnations.iterator().next());
+    }
+  }
+
   /**
    * Records that an endpoint itself reported that it is draining.
    *
--- a/core/src/main/java/org/lentilhinge/fleet/FleetEndpoint.java
+++ b/core/src/main/java/org/lentilhinge/fleet/FleetEndpoint.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.fleet;
 
 import java.util.List;
+import org.lentilhinge.identity.StoreRevision;
 
 /**
  * An incarnation of an endpoint, as the endpoint registered it.
@@ -13,7 +14,7 @@
  * @param zone its availability zone
  * @param state whether it accepts new requests
  * @param acceptedOrders the number of orders that it has accepted in this incarnation
- * @param revision the store's revision of the registration, which only increases
+ * @param revision the state of the store after the registration
  * @param models the base models that it has loaded
  */
 public record FleetEndpoint(
@@ -24,7 +25,7 @@
     String zone,
     EndpointState state,
     long acceptedOrders,
-    long revision,
+    StoreRevision revision,
     List<String> models) {
 
   /**
--- a/core/src/main/java/org/lentilhinge/forward/ForwardConfiguration.java
+++ b/core/src/main/java/org/lentilhinge/forward/ForwardConfiguration.java
@@ -2,17 +2,18 @@
 
 import java.util.List;
 import java.util.Map;
+import org.lentilhinge.identity.DeclaredVersion;
 
 /**
  * A complete configuration of the forwarding path.
  *
- * @param version the version, which only increases
+ * @param version the version, which only increases on a host
  * @param routes all routes
  * @param services the services, by name
  * @param limits the limits on what callers may send
  */
 public record ForwardConfiguration(
-    long version,
+    DeclaredVersion version,
     List<ForwardRoute> routes,
     Map<String, ForwardService> services,
     ForwardLimits limits) {
--- a/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
@@ -8,7 +8,7 @@
  * states the expected count. A host may take over an engine whose count has not changed for longer
  * than the lease. An owner whose count changed without an order of its own relinquishes the engine
  * and observes it again. A fencing token consists of the store's revision at the time of the
- * takeover, which never decreases, the order count and the host's number.
+ * takeover, as a number that never decreases, the order count and the host's number.
  */
 public final class EngineOwnership {
 
@@ -138,7 +138,7 @@
    * Takes over the engine if its count has been unchanged for long enough.
    *
    * @param rank the rank of this host among those that may take over the engine; 0 is the first
-   * @param revision the latest revision of the store that this host has read; 0 if none
+   * @param revision the number of the latest state of the store that this host has read; 0 if none
    * @param nowMillis the current time, in milliseconds
    * @return whether this host owns the engine now
    */
--- a/core/src/main/java/org/lentilhinge/published/ConfigurationChange.java
+++ b/core/src/main/java/org/lentilhinge/published/ConfigurationChange.java
@@ -8,6 +8,7 @@
 import org.lentilhinge.forward.ForwardLimits;
 import org.lentilhinge.forward.ForwardRoute;
 import org.lentilhinge.forward.ForwardService;
+import org.lentilhinge.identity.DeclaredVersion;
 
 /**
  * The difference between two configurations. Its size depends on the routes that have changed and
@@ -22,8 +23,8 @@
  * @param limits the limits
  */
 public record ConfigurationChange(
-    long baseVersion,
-    long version,
+    DeclaredVersion baseVersion,
+    DeclaredVersion version,
     int keptFirst,
     int keptLast,
     List<ForwardRoute> routes,
@@ -84,7 +85,7 @@
    */
   public Optional<ForwardConfiguration> applyTo(ForwardConfiguration base) {
     List<ForwardRoute> former = base.routes();
-    if (base.version() != baseVersion || keptFirst + keptLast > former.size()) {
+    if (!base.version().equals(baseVersion) || keptFirst + keptLast > former.size()) {
       return Optional.empty();
     }
     List<ForwardRoute> result = new ArrayList<>(former.subList(0, keptFirst));
--- a/core/src/main/java/org/lentilhinge/published/DeclarationNews.java
+++ b/core/src/main/java/org/lentilhinge/published/DeclarationNews.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.lentilhinge.identity.DeclaredVersion;
+import org.lentilhinge.identity.StoreRevision;
 import org.lentilhinge.message.PeerMessage;
 
 /**
@@ -16,9 +18,9 @@
  * @param releases the announced versions of adapters
  */
 public record DeclarationNews(
-    long sinceRevision,
-    long revision,
-    long configurationVersion,
+    StoreRevision sinceRevision,
+    StoreRevision revision,
+    DeclaredVersion configurationVersion,
     Optional<ConfigurationChange> configuration,
     List<AdapterRelease> releases)
     implements PeerMessage {
--- a/core/src/main/java/org/lentilhinge/published/DeclaredState.java
+++ b/core/src/main/java/org/lentilhinge/published/DeclaredState.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.lentilhinge.forward.ForwardConfiguration;
+import org.lentilhinge.identity.StoreRevision;
 
 /**
  * The state declared by operators, as returned by one read of the store.
@@ -12,4 +13,6 @@
  * @param revision the store revision up to which the state is current
  */
 public record DeclaredState(
-    Optional<ForwardConfiguration> configuration, List<AdapterRelease> releases, long revision) {}
+    Optional<ForwardConfiguration> configuration,
+    List<AdapterRelease> releases,
+    StoreRevision revision) {}
--- a/core/src/main/java/org/lentilhinge/published/KnownDeclarations.java
+++ b/core/src/main/java/org/lentilhinge/published/KnownDeclarations.java
@@ -2,13 +2,15 @@
 
 import java.util.Optional;
 import org.lentilhinge.forward.ForwardConfiguration;
+import org.lentilhinge.identity.DeclaredVersion;
+import org.lentilhinge.identity.StoreRevision;
 
 /** The operators' declarations that a host knows, from its own reads or from news. */
 public final class KnownDeclarations {
 
   private Optional<ForwardConfiguration> configuration = Optional.empty();
   private boolean complete;
-  private long revision = -1;
+  private StoreRevision revision = StoreRevision.NONE;
 
   /** Creates an empty state. */
   public KnownDeclarations() {}
@@ -18,7 +20,7 @@
    *
    * @return the revision, or empty if the complete state has to be read
    */
-  public Optional<Long> awaitedRevision() {
+  public Optional<StoreRevision> awaitedRevision() {
     return complete ? Optional.of(revision) : Optional.empty();
   }
 
@@ -30,32 +32,33 @@
   /**
    * Updates the state by a read of this host.
    *
-   * @param sinceRevision the revision after which changes were awaited, or -1 for the complete
-   *     state
+   * @param sinceRevision the revision after which changes were awaited, or {@link
+   *     StoreRevision#NONE} for the complete state
    * @param read what was read
    * @return the news for other hosts; a first configuration is not sent, as hosts without one read
    *     the store themselves
    */
-  public DeclarationNews update(long sinceRevision, DeclaredState read) {
+  public DeclarationNews update(StoreRevision sinceRevision, DeclaredState read) {
     Optional<ConfigurationChange> change =
         read.configuration()
             .flatMap(
                 next ->
                     configuration
-                        .filter(former -> former.version() < next.version())
+                        .filter(former -> former.version().isBefore(next.version()))
                         .map(former -> ConfigurationChange.between(former, next)));
     read.configuration().filter(this::isNewer).ifPresent(next -> configuration = Optional.of(next));
-    complete = true;
-    revision = Math.max(revision, read.revision());
+    // A read of a former era, answered late, says nothing of the changes in this one.
+    complete |= read.revision().era() >= revision.era();
+    revision = revision.latest(read.revision());
     return new DeclarationNews(sinceRevision, read.revision(), version(), change, read.releases());
   }
 
   private boolean isNewer(ForwardConfiguration next) {
-    return next.version() > version();
+    return version().isBefore(next.version());
   }
 
-  private long version() {
-    return configuration.map(ForwardConfiguration::version).orElse(0L);
+  private DeclaredVersion version() {
+    return configuration.map(ForwardConfiguration::version).orElse(DeclaredVersion.NONE);
   }
 
   /**
@@ -70,7 +73,7 @@
         news.configuration().flatMap(change -> configuration.flatMap(change::applyTo));
     next.ifPresent(changed -> configuration = next);
     if (isUpToDate(news)) {
-      revision = Math.max(revision, news.revision());
+      revision = revision.latest(news.revision());
     }
     return new DeclaredState(next, news.releases(), news.revision());
   }
@@ -82,6 +85,8 @@
    * @return whether this host need not read the store
    */
   public boolean isUpToDate(DeclarationNews news) {
-    return complete && news.sinceRevision() <= revision && news.configurationVersion() <= version();
+    return complete
+        && !revision.isBefore(news.sinceRevision())
+        && !version().isBefore(news.configurationVersion());
   }
 }
--- a/core/src/main/java/org/lentilhinge/published/KnownListing.java
+++ b/core/src/main/java/org/lentilhinge/published/KnownListing.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.lentilhinge.fleet.FleetEndpoint;
+import org.lentilhinge.identity.StoreRevision;
 import org.lentilhinge.lease.RendezvousHash;
 
 /**
@@ -16,7 +17,7 @@
 public final class KnownListing {
 
   private Map<String, FleetEndpoint> endpoints = Map.of();
-  private long revision;
+  private StoreRevision revision = StoreRevision.NONE;
 
   /** Creates an empty listing. */
   public KnownListing() {}
@@ -28,7 +29,7 @@
    * @return the news for other hosts, or empty if a newer listing is known already
    */
   public Optional<ListingNews> replace(EndpointListing listing) {
-    if (listing.revision() < revision) {
+    if (listing.revision().isBefore(revision)) {
       return Optional.empty();
     }
     Map<String, FleetEndpoint> next = new HashMap<>();
@@ -55,7 +56,7 @@
    *     host has to read it
    */
   public Optional<EndpointListing> apply(ListingNews news) {
-    if (news.revision() < revision) {
+    if (news.revision().isBefore(revision)) {
       return Optional.empty();
     }
     Map<String, FleetEndpoint> next = new HashMap<>(endpoints);
--- a/core/src/main/java/org/lentilhinge/published/ListingNews.java
+++ b/core/src/main/java/org/lentilhinge/published/ListingNews.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.lentilhinge.fleet.FleetEndpoint;
+import org.lentilhinge.identity.StoreRevision;
 import org.lentilhinge.message.PeerMessage;
 
 /**
@@ -13,7 +14,7 @@
  * @param removedIds the ids of the endpoints that are no longer listed
  */
 public record ListingNews(
-    long revision, long digest, List<FleetEndpoint> changed, List<String> removedIds)
+    StoreRevision revision, long digest, List<FleetEndpoint> changed, List<String> removedIds)
     implements PeerMessage {
 
   /**
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
@@ -3,7 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -126,6 +128,7 @@
     private final ResponseTimeout timeout;
     private final Buffer body = Buffer.buffer();
     private int status;
+    private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
 
     ResponseCollector(
         String description, Promise<ControlResponse> promise, ResponseTimeout timeout) {
@@ -142,6 +145,7 @@
     @Override
     public void onHead(HttpResponse response) {
       status = response.status().code();
+      headers = response.headers();
       timeout.recordProgress(clock.getAsLong());
     }
 
@@ -159,7 +163,7 @@
 
     @Override
     public void onComplete() {
-      promise.tryComplete(new ControlResponse(status, body));
+      promise.tryComplete(new ControlResponse(status, headers, body));
     }
 
     @Override
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
@@ -29,9 +29,9 @@
         .register(9, HostGossip.class)
         .register(10, HostTable.class)
         .register(11, EngineStatuses.class)
-        .register(12, ListingNews.class)
-        .register(14, DeclarationNews.class)
         .register(15, PromptObservations.class)
-        .register(16, EndpointLimitNews.class);
+        .register(16, EndpointLimitNews.class)
+        .register(17, ListingNews.class)
+        .register(18, DeclarationNews.class);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -15,6 +15,7 @@
 import org.lentilhinge.forward.ForwardRoute;
 import org.lentilhinge.forward.RequestKind;
 import org.lentilhinge.forward.RequestProgress;
+import org.lentilhinge.identity.DeclaredVersion;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
@@ -106,7 +107,7 @@
         "kind",
         route.kind(),
         "configuration",
-        state.configuration().map(ForwardConfiguration::version).orElse(0L),
+        state.configuration().map(ForwardConfiguration::version).orElse(DeclaredVersion.NONE),
         "leftMs",
         remainingMillis());
     deadlineTimer = context.vertx().setTimer(Math.max(1, remainingMillis()), id -> onDeadline());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.lentilhinge.forward.ForwardConfiguration;
 import org.lentilhinge.forward.ForwardRoute;
+import org.lentilhinge.identity.DeclaredVersion;
 import org.lentilhinge.lease.RendezvousHash;
 
 /** Finds the route of each caller's request, and starts a {@link ForwardedRequest} for it. */
@@ -129,7 +130,7 @@
             "target",
             exchange.request().uri(),
             "configuration",
-            state.configuration().map(ForwardConfiguration::version).orElse(0L));
+            state.configuration().map(ForwardConfiguration::version).orElse(DeclaredVersion.NONE));
     count("refused." + reason);
     exchange.respond(status, retryAfterMillis, reason);
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HistoryCompactedException.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HistoryCompactedException.java
@@ -1,5 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
+import org.lentilhinge.identity.StoreRevision;
+
 /** Thrown when the store no longer has the requested changes. */
 public final class HistoryCompactedException extends Exception {
 
@@ -10,7 +12,7 @@
    *
    * @param revision the revision after which the changes were requested
    */
-  public HistoryCompactedException(long revision) {
+  public HistoryCompactedException(StoreRevision revision) {
     super("the store no longer has the changes after revision " + revision);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -13,6 +13,7 @@
 import org.lentilhinge.forward.RetryBudgetShare;
 import org.lentilhinge.forward.RouteTable;
 import org.lentilhinge.forward.ZoneDistances;
+import org.lentilhinge.identity.StoreRevision;
 import org.lentilhinge.limit.EndpointLimits;
 import org.lentilhinge.overlay.HostOverlay;
 import org.lentilhinge.permit.EngineSelector;
@@ -36,7 +37,7 @@
   private final Map<String, Long> adapterVersions = new HashMap<>();
   private Optional<ForwardConfiguration> configuration = Optional.empty();
   private RouteTable routes = new RouteTable(List.of());
-  private long storeRevision;
+  private StoreRevision storeRevision = StoreRevision.NONE;
   private long revisionReadAtMillis;
   private Runnable revisionReader = () -> {};
   private boolean leaving;
@@ -97,7 +98,7 @@
 
   /** Applies a configuration if its version is higher than that of the current one. */
   boolean applyConfiguration(ForwardConfiguration next) {
-    if (configuration.isPresent() && next.version() <= configuration.get().version()) {
+    if (configuration.isPresent() && !configuration.get().version().isBefore(next.version())) {
       return false;
     }
     configuration = Optional.of(next);
@@ -133,8 +134,8 @@
                 context.now()));
   }
 
-  void recordRevision(long revision) {
-    if (revision >= storeRevision) {
+  void recordRevision(StoreRevision revision) {
+    if (!revision.isBefore(storeRevision)) {
       storeRevision = revision;
       revisionReadAtMillis = context.now();
     }
@@ -152,14 +153,14 @@
   }
 
   /**
-   * Returns the newest revision of the store if this host has read it recently, or else 0. A
-   * revision that was read within the length of the lease is not older than the revision of any
-   * owner whose last order is at least one lease ago.
+   * Returns the number of the newest state of the store if this host has read it recently, or else
+   * 0. A state that was read within the length of the lease is not older than that of any owner
+   * whose last order is at least one lease ago.
    */
   long freshRevision() {
     long leaseMillis = context.settings().bounds().leaseMillis();
     return context.now() - revisionReadAtMillis <= leaseMillis * FRESH_LEASE_FRACTION
-        ? storeRevision
+        ? Math.max(0, storeRevision.toNumber())
         : 0;
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/PublishedStore.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/PublishedStore.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
 import io.vertx.core.Future;
+import org.lentilhinge.identity.StoreRevision;
 import org.lentilhinge.published.DeclaredState;
 import org.lentilhinge.published.EndpointListing;
 
@@ -27,7 +28,7 @@
    * @param revision the revision up to which the changes are known
    * @param waitMillis the maximum wait for a change, in milliseconds
    * @return the changes, which may be empty; fails with {@link HistoryCompactedException} if the
-   *     store no longer has the changes after the revision
+   *     store no longer has the changes after the revision, or was restored since
    */
-  Future<DeclaredState> awaitDeclaredState(long revision, long waitMillis);
+  Future<DeclaredState> awaitDeclaredState(StoreRevision revision, long waitMillis);
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
@@ -4,6 +4,7 @@
 import java.util.Random;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
+import org.lentilhinge.identity.StoreRevision;
 import org.lentilhinge.published.DeclarationNews;
 import org.lentilhinge.published.DeclaredState;
 import org.lentilhinge.published.EndpointListing;
@@ -128,7 +129,7 @@
   private void followDeclaredState() {
     boolean forZone = isReadForZone(declarationSchedule);
     declarationSchedule.recordStart();
-    Optional<Long> awaited = knownDeclarations.awaitedRevision();
+    Optional<StoreRevision> awaited = knownDeclarations.awaitedRevision();
     long startedAtMillis = clock.getAsLong();
     awaited
         .map(revision -> store.awaitDeclaredState(revision, LONG_POLL_TIMEOUT_MILLIS))
@@ -136,7 +137,7 @@
         .onSuccess(
             declared -> {
               DeclarationNews news =
-                  onDeclaredState(awaited.orElse(-1L), declared, startedAtMillis);
+                  onDeclaredState(awaited.orElse(StoreRevision.NONE), declared, startedAtMillis);
               if (forZone) {
                 zone.sendToZone(news);
               }
@@ -145,7 +146,7 @@
   }
 
   private DeclarationNews onDeclaredState(
-      long sinceRevision, DeclaredState declared, long startedAtMillis) {
+      StoreRevision sinceRevision, DeclaredState declared, long startedAtMillis) {
     long now = clock.getAsLong();
     declarationSchedule.recordSuccess(now);
     DeclarationNews news = knownDeclarations.update(sinceRevision, declared);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreListener.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreListener.java
@@ -1,13 +1,14 @@
 package org.lentilhinge.runtime.forward;
 
+import org.lentilhinge.identity.StoreRevision;
 import org.lentilhinge.published.DeclaredState;
 import org.lentilhinge.published.EndpointListing;
 
 /** Receives the contents of the published store. */
 interface StoreListener {
 
-  /** Records a revision that this host has just read itself. */
-  void onRead(long revision);
+  /** Records a state of the store that this host has just read itself. */
+  void onRead(StoreRevision revision);
 
   /** Handles a complete listing of endpoints. */
   void onListing(EndpointListing listing);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreStateUpdater.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreStateUpdater.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.lentilhinge.fleet.FleetChange;
 import org.lentilhinge.forward.ForwardConfiguration;
+import org.lentilhinge.identity.StoreRevision;
 import org.lentilhinge.published.AdapterRelease;
 import org.lentilhinge.published.DeclaredState;
 import org.lentilhinge.published.EndpointListing;
@@ -17,6 +18,8 @@
   private final Runnable afterRead;
 
   private boolean listingFailed;
+  private boolean readAtAll;
+  private long era;
   private volatile long appliedVersion;
 
   /**
@@ -42,7 +45,14 @@
   }
 
   @Override
-  public void onRead(long revision) {
+  public void onRead(StoreRevision revision) {
+    if (revision.era() > era) {
+      // The first read of a host is no sign of a restore.
+      String event = readAtAll ? "store-restored" : "store-era";
+      context.log().line(event, "era", revision.era(), "revision", revision.revision());
+      era = revision.era();
+    }
+    readAtAll = true;
     state.recordRevision(revision);
   }
 
@@ -53,7 +63,9 @@
       context.log().line("store-regained", "reading", "endpoints");
     }
     for (FleetChange change :
-        state.endpoints().updateFromListing(listing.endpoints(), context.now())) {
+        state
+            .endpoints()
+            .updateFromListing(listing.endpoints(), listing.revision(), context.now())) {
       applyChange(change);
     }
     afterRead.run();
@@ -107,7 +119,7 @@
   private void applyConfiguration(
       ForwardConfiguration configuration, String source, long readMillis) {
     if (state.applyConfiguration(configuration)) {
-      appliedVersion = configuration.version();
+      appliedVersion = configuration.version().number();
       context
           .log()
           .line(
