Do not ask engines at their request limit before their next turn

By reading: a host asked a limited engine with the resident adapter again and again, since a refusal cost less than the expected load elsewhere; each refusal took a round trip and one of the three permit requests, after which the caller is refused.

Change: a refusal because of the limit is remembered until the next turn, for engines as for plain endpoints, and the engine is passed over meanwhile. If nothing else is left the caller is told when the next turn is due.

--- a/core/src/main/java/org/lentilhinge/permit/EngineCommand.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineCommand.java
@@ -21,6 +21,11 @@
       return new Answer(
           host, new PermitAnswer(request.permitId(), false, retry, reason), waitedMillis);
     }
+
+    /** Refuses a permit request because of the request limit that the engine states. */
+    static Answer limitRefusal(String host, PermitRequest request, long retryMillis) {
+      return refusal(host, request, retryMillis, PermitAnswer.ENDPOINT_LIMIT, 0);
+    }
   }
 
   /**
--- a/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
@@ -26,7 +26,6 @@
 
   private static final String UNREACHABLE = "engine-unreachable";
   private static final String NO_OWNER = "no-holder";
-  private static final String REQUEST_LIMIT = "endpoint-limit";
 
   /** The longest wait for the turn under the engine's request limit, in milliseconds. */
   private static final long MAXIMUM_RATE_WAIT_MILLIS = 100;
@@ -170,7 +169,7 @@
     }
     long rateWaitMillis = rate.waitMillis(queue.size(), nowMillis);
     if (rateWaitMillis > MAXIMUM_RATE_WAIT_MILLIS) {
-      return List.of(EngineCommand.Answer.refusal(host, request, rateWaitMillis, REQUEST_LIMIT, 0));
+      return List.of(EngineCommand.Answer.limitRefusal(host, request, rateWaitMillis));
     }
     long waitMillis = expectedWaitMillis(request, nowMillis);
     long firstMillis = waitMillis + backlog.prefillMillis(request.promptTokens()) + OVERHEAD_MILLIS;
@@ -435,7 +434,7 @@
       long rateWaitMillis = rate.waitMillis(ahead, nowMillis);
       if (rateWaitMillis > MAXIMUM_RATE_WAIT_MILLIS) {
         queue.remove(entry.key());
-        commands.add(entry.refusal(rateWaitMillis, REQUEST_LIMIT, nowMillis));
+        commands.add(entry.refusal(rateWaitMillis, PermitAnswer.ENDPOINT_LIMIT, nowMillis));
       } else if (!awaitingReport && needsUnavailableOrder(entry.request())) {
         queue.remove(entry.key());
         commands.add(entry.refusal(canOrderInMillis, NO_OWNER, nowMillis));
--- a/core/src/main/java/org/lentilhinge/permit/PermitAnswer.java
+++ b/core/src/main/java/org/lentilhinge/permit/PermitAnswer.java
@@ -12,4 +12,17 @@
  * @param reason the reason, for the log
  */
 public record PermitAnswer(long permitId, boolean granted, long retryAfterMillis, String reason)
-    implements PeerMessage {}
+    implements PeerMessage {
+
+  /** The reason of a refusal because of the request limit that the endpoint states. */
+  public static final String ENDPOINT_LIMIT = "endpoint-limit";
+
+  /**
+   * Returns whether the permit was refused because of the request limit of the endpoint.
+   *
+   * @return whether no host can get a permit before the time for a retry
+   */
+  public boolean isLimited() {
+    return !granted && reason.equals(ENDPOINT_LIMIT);
+  }
+}
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.ForwardService;
+import org.lentilhinge.permit.PermitAnswer;
 
 /** Chooses the endpoints for one request, one after the other. */
 final class EndpointChoice {
@@ -48,7 +49,7 @@
         .engineSelector()
         .select(
             usable(),
-            excluded,
+            unavailable(),
             adapter,
             state.distances(),
             engine -> state.scores().failureCostMillis(engine.incarnation(), context.now()),
@@ -56,14 +57,22 @@
   }
 
   private Optional<FleetEndpoint> nextPlain() {
+    Set<String> unavailable = unavailable();
+    if (isOutOfPermitRequests()) {
+      limitedEndpoints().forEach(endpoint -> unavailable.add(endpoint.incarnation()));
+    }
+    return state.scores().select(usable(), unavailable, state.distances(), context.now());
+  }
+
+  /** Returns the excluded endpoints and those that are at their limit for now. */
+  private Set<String> unavailable() {
     Set<String> unavailable = new HashSet<>(excluded);
     for (FleetEndpoint endpoint : usable()) {
-      boolean exhausted = state.limits().exhaustedMillis(endpoint.incarnation(), context.now()) > 0;
-      if (exhausted || isOutOfPermitRequests() && needsPermit(endpoint)) {
+      if (state.limits().exhaustedMillis(endpoint.incarnation(), context.now()) > 0) {
         unavailable.add(endpoint.incarnation());
       }
     }
-    return state.scores().select(usable(), unavailable, state.distances(), context.now());
+    return unavailable;
   }
 
   private Collection<FleetEndpoint> usable() {
@@ -94,23 +103,25 @@
 
   /** Returns why no endpoint is left, for the log. */
   String missingReason() {
-    if (isEngineService()) {
-      return nextEngine().isPresent() ? "no-room" : "no-engine";
+    if (isEngineService() && isOutOfPermitRequests()) {
+      return "no-room";
+    }
+    if (!limitedEndpoints().isEmpty()) {
+      return PermitAnswer.ENDPOINT_LIMIT;
     }
-    return limitedEndpoints().isEmpty() ? "no-endpoint" : "endpoint-limit";
+    return isEngineService() ? "no-engine" : "no-endpoint";
   }
 
   /** Returns the time after which an endpoint may again accept a request under its limit. */
   OptionalLong limitRetryMillis() {
-    return isEngineService()
-        ? OptionalLong.empty()
-        : limitedEndpoints().stream()
-            .mapToLong(
-                endpoint -> state.limits().retryMillis(endpoint.incarnation(), context.now()))
-            .min();
+    return limitedEndpoints().stream()
+        .mapToLong(endpoint -> state.limits().retryMillis(endpoint.incarnation(), context.now()))
+        .min();
   }
 
   private List<FleetEndpoint> limitedEndpoints() {
-    return usable().stream().filter(this::needsPermit).toList();
+    return usable().stream()
+        .filter(endpoint -> state.limits().find(endpoint.incarnation()).isPresent())
+        .toList();
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointLimitRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointLimitRunner.java
@@ -17,8 +17,6 @@
  */
 final class EndpointLimitRunner {
 
-  private static final String REASON = "endpoint-limit";
-
   private final HostContext context;
   private final HostState state;
   private final HostBroadcast broadcast;
@@ -81,10 +79,12 @@
             "ask",
             request.permitId(),
             "why",
-            REASON,
+            PermitAnswer.ENDPOINT_LIMIT,
             "retryMs",
             waitMillis);
-    peers.send(host, new PermitAnswer(request.permitId(), granted, waitMillis, REASON));
+    peers.send(
+        host,
+        new PermitAnswer(request.permitId(), granted, waitMillis, PermitAnswer.ENDPOINT_LIMIT));
   }
 
   /** Adjusts the share of the limits to the hosts that this host hears. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -154,7 +154,9 @@
   private void chooseEndpoint() {
     Optional<FleetEndpoint> chosen = choice.next();
     if (chosen.isEmpty()) {
-      choice.limitRetryMillis().ifPresent(this::suggestRetryAfter);
+      if (retryAfterMillis.isEmpty()) {
+        choice.limitRetryMillis().ifPresent(this::suggestRetryAfter);
+      }
       fail(choice.missingReason());
     } else if (choice.needsPermit(chosen.get())) {
       requestPermit(chosen.get());
@@ -239,12 +241,12 @@
     permit = Optional.empty();
     choice.exclude(engine);
     log("not-permitted", "engine", engine.id(), "why", answer.reason());
-    if (choice.isEngineService()) {
-      suggestRetryAfter(answer.retryAfterMillis());
-    } else {
+    if (answer.isLimited()) {
       state
           .limits()
           .recordExhausted(engine.incarnation(), context.now() + answer.retryAfterMillis());
+    } else if (choice.isEngineService()) {
+      suggestRetryAfter(answer.retryAfterMillis());
     }
     if (context.now() - arrivedAtMillis > route.targetMillis() * PERMIT_TARGET_MULTIPLE) {
       // The request has already waited long for the previous engines: the caller retries later
