Use request limits of engines in full while adapters load

Servers in need got only a part of the rate that they accept, and callers were refused for it.

Cause: the token bucket held one request. A request that waits 300 ms for a load of its adapter keeps its turn, and the next turn was lost meanwhile.

Change: the bucket holds at least two requests.

EngineSchedulerTest.limitIsUsedInFullWhileAdaptersLoad failed before (21 of 40 turns used) and is green (36 to 40 required).

--- a/core/src/main/java/org/lentilhinge/limit/RequestRate.java
+++ b/core/src/main/java/org/lentilhinge/limit/RequestRate.java
@@ -6,7 +6,7 @@
  */
 public final class RequestRate {
 
-  /** The time whose requests may be saved up while few are sent, in seconds. */
+  /** The time whose requests may be saved up while none is sent, in seconds. */
   private static final double BURST_SECONDS = 0.25;
 
   /**
@@ -15,6 +15,12 @@
    */
   private static final double MINIMUM_PER_SECOND = 0.1;
 
+  /**
+   * The least number of requests that may be saved up. While one waits for a load of its adapter,
+   * the turn of the next one comes up.
+   */
+  private static final double MINIMUM_BURST = 2;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private RequestLimit limit = RequestLimit.UNLIMITED;
@@ -62,7 +68,7 @@
     if (limit.isUnlimited()) {
       return;
     }
-    double capacity = Math.max(1, perMillisecond() * MILLIS_PER_SECOND * BURST_SECONDS);
+    double capacity = Math.max(MINIMUM_BURST, perMillisecond() * MILLIS_PER_SECOND * BURST_SECONDS);
     double added = perMillisecond() * Math.max(0, nowMillis - refilledAtMillis);
     available = Math.min(capacity, available + added);
     refilledAtMillis = nowMillis;
--- a/core/src/test/java/org/lentilhinge/permit/EngineSchedulerTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineSchedulerTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import org.lentilhinge.limit.RequestLimit;
 import org.lentilhinge.limit.RequestRate;
 import org.testng.annotations.Test;
@@ -341,4 +342,36 @@
     assertEquals(refused.size(), 3);
     assertTrue(refused.stream().noneMatch(PermitAnswer::granted));
   }
+
+  // An engine got two thirds of its limit, because a turn was lost while a request for it waited.
+  @Test
+  public void limitIsUsedInFullWhileAdaptersLoad() {
+    EngineSchedulerTest fresh = new EngineSchedulerTest();
+    fresh.reportLoaded();
+    fresh.rate.setLimit(new RequestLimit(2), 0);
+    Map<Long, List<AdapterOrder>> orders = new TreeMap<>();
+    int granted = 0;
+    for (long now = 0; now <= 20_000; now += 20) {
+      List<EngineCommand> commands = new ArrayList<>();
+      for (AdapterOrder order : orders.getOrDefault(now, List.of())) {
+        commands.addAll(fresh.scheduler.recordOrder(order, true, now));
+      }
+      PermitRequest request = fresh.request("a" + now);
+      commands.addAll(fresh.scheduler.submit("h", request, now));
+      commands.addAll(fresh.scheduler.decide(now));
+      long doneAtMillis = now + 300;
+      orders(commands)
+          .forEach(
+              order ->
+                  orders.computeIfAbsent(doneAtMillis, unused -> new ArrayList<>()).add(order));
+      for (PermitAnswer answer : answers(commands)) {
+        if (answer.granted()) {
+          granted++;
+          PermitReturn ended = new PermitReturn(answer.permitId(), PermitReturn.Outcome.DONE, 0);
+          commands.addAll(fresh.scheduler.release("h", ended, now));
+        }
+      }
+    }
+    assertTrue(granted >= 36 && granted <= 40, "granted " + granted);
+  }
 }
