Look up limits without a pass over all endpoints

For callers nothing changes; the processor time of a request with engines does. Reading the change once more showed: each choice of an engine listed and sorted the endpoints of the service a second time to leave out those at their limit, and each permit request of an unknown engine searched all endpoints. EndpointLimits.exhausted returns the few endpoints concerned, EndpointRegistry.findIncarnation looks up by id. Announced limits of endpoints that are not registered are no longer kept, so that the map cannot grow with endpoints that have gone. Not measured.

Tests: EndpointRegistryTest.formerIncarnationIsNotFound (new), EndpointLimitsTest, EndpointChoiceTest, RequestLimitTest, RequestLimitSimulationTest and the tests of engines and of the restored store green.

--- a/core/src/main/java/org/lentilhinge/fleet/EndpointRegistry.java
+++ b/core/src/main/java/org/lentilhinge/fleet/EndpointRegistry.java
@@ -180,6 +180,18 @@
     return Optional.ofNullable(endpoints.get(id));
   }
 
+  /**
+   * Looks up an incarnation.
+   *
+   * @param incarnation the name of the incarnation
+   * @return the endpoint as last registered, or empty if this incarnation is not registered
+   */
+  public Optional<FleetEndpoint> findIncarnation(String incarnation) {
+    int separator = incarnation.lastIndexOf('/');
+    return find(separator < 0 ? incarnation : incarnation.substring(0, separator))
+        .filter(endpoint -> endpoint.incarnation().equals(incarnation));
+  }
+
   /**
    * Lists all registered endpoints.
    *
--- a/core/src/main/java/org/lentilhinge/limit/EndpointLimits.java
+++ b/core/src/main/java/org/lentilhinge/limit/EndpointLimits.java
@@ -1,8 +1,10 @@
 package org.lentilhinge.limit;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The request limits of all endpoints that this host knows, from its own responses or from other
@@ -179,15 +181,20 @@
   }
 
   /**
-   * Returns how long no permit for an endpoint is to be requested.
+   * Returns the endpoints for which no permit is to be requested yet.
    *
-   * @param incarnation the incarnation of the endpoint
    * @param nowMillis the current time, in milliseconds
-   * @return the time, in milliseconds; 0 if a permit may be requested
+   * @return their incarnations, in a new set
    */
-  public long exhaustedMillis(String incarnation, long nowMillis) {
-    Entry entry = entries.get(incarnation);
-    return entry == null ? 0 : Math.max(0, entry.exhaustedUntilMillis - nowMillis);
+  public Set<String> exhausted(long nowMillis) {
+    Set<String> exhausted = new HashSet<>();
+    entries.forEach(
+        (incarnation, entry) -> {
+          if (entry.exhaustedUntilMillis > nowMillis) {
+            exhausted.add(incarnation);
+          }
+        });
+    return exhausted;
   }
 
   /**
--- a/core/src/test/java/org/lentilhinge/fleet/EndpointRegistryTest.java
+++ b/core/src/test/java/org/lentilhinge/fleet/EndpointRegistryTest.java
@@ -140,4 +140,13 @@
     fresh.registry.updateFromListing(List.of(), ERA, 8_000);
     assertTrue(fresh.registry.usableEndpoints("s").isEmpty());
   }
+
+  @Test
+  public void formerIncarnationIsNotFound() {
+    EndpointRegistryTest fresh = new EndpointRegistryTest();
+    fresh.list(0, entry(2, EndpointState.READY, 5));
+    assertTrue(fresh.registry.findIncarnation("one/2").isPresent());
+    assertTrue(fresh.registry.findIncarnation("one/1").isEmpty());
+    assertTrue(fresh.registry.findIncarnation("one").isEmpty());
+  }
 }
--- a/core/src/test/java/org/lentilhinge/limit/EndpointLimitsTest.java
+++ b/core/src/test/java/org/lentilhinge/limit/EndpointLimitsTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.Optional;
+import java.util.Set;
 import org.testng.annotations.Test;
 
 /** Tests which limit of an endpoint a host knows, and what it announces. */
@@ -119,10 +120,10 @@
     EndpointLimitsTest test = fresh();
     test.respond(TWO, 0, 0);
     test.limits.recordExhausted(ENDPOINT, 300);
-    assertEquals(test.limits.exhaustedMillis(ENDPOINT, 100), 200);
+    assertEquals(test.limits.exhausted(299), Set.of(ENDPOINT));
     assertEquals(test.limits.retryMillis(ENDPOINT, 100), 400);
     assertEquals(test.limits.retryMillis(ENDPOINT, 100), 900);
     assertEquals(test.limits.retryMillis(ENDPOINT, 100), 1_400);
-    assertEquals(test.limits.exhaustedMillis(ENDPOINT, 300), 0);
+    assertEquals(test.limits.exhausted(300), Set.of());
   }
 }
--- a/core/src/test/java/org/lentilhinge/limit/RequestLimitSimulation.java
+++ b/core/src/test/java/org/lentilhinge/limit/RequestLimitSimulation.java
@@ -195,7 +195,7 @@
       send(sender);
       return;
     }
-    if (host.limits.exhaustedMillis("e", now) > 0) {
+    if (host.limits.exhausted(now).contains("e")) {
       return;
     }
     int pacer = pacerOf(sender);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
@@ -66,12 +66,8 @@
 
   /** Returns the excluded endpoints and those that are at their limit for now. */
   private Set<String> unavailable() {
-    Set<String> unavailable = new HashSet<>(excluded);
-    for (FleetEndpoint endpoint : usable()) {
-      if (state.limits().exhaustedMillis(endpoint.incarnation(), context.now()) > 0) {
-        unavailable.add(endpoint.incarnation());
-      }
-    }
+    Set<String> unavailable = state.limits().exhausted(context.now());
+    unavailable.addAll(excluded);
     return unavailable;
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointLimitRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointLimitRunner.java
@@ -49,7 +49,9 @@
   void receive(EndpointLimitNews news) {
     broadcast.receive(news);
     for (EndpointLimit announced : news.limits()) {
-      if (state.limits().receive(announced, context.now())) {
+      // The limit of an endpoint that is not registered yet is announced again.
+      boolean registered = state.endpoints().findIncarnation(announced.incarnation()).isPresent();
+      if (registered && state.limits().receive(announced, context.now())) {
         logChange(announced.incarnation(), announced.limit(), news.host());
       }
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -98,18 +98,14 @@
   }
 
   private boolean isPlainEndpoint(String incarnation) {
-    return findEndpoint(incarnation)
+    return state
+        .endpoints()
+        .findIncarnation(incarnation)
         .flatMap(endpoint -> state.service(endpoint.service()))
         .filter(service -> service.engine().isEmpty())
         .isPresent();
   }
 
-  private Optional<FleetEndpoint> findEndpoint(String incarnation) {
-    return state.endpoints().all().stream()
-        .filter(endpoint -> endpoint.incarnation().equals(incarnation))
-        .findFirst();
-  }
-
   void release(String host, PermitReturn permitReturn) {
     List.copyOf(runners.values()).forEach(runner -> runner.release(host, permitReturn));
   }
@@ -139,7 +135,7 @@
     if (existing != null) {
       return Optional.of(existing);
     }
-    return findEndpoint(incarnation).flatMap(this::createRunner);
+    return state.endpoints().findIncarnation(incarnation).flatMap(this::createRunner);
   }
 
   private Optional<OwnedEngineRunner> createRunner(FleetEndpoint engine) {
