--- a/core/src/test/java/org/lentilhinge/limit/RequestLimitSimulation.java
+++ b/core/src/test/java/org/lentilhinge/limit/RequestLimitSimulation.java
@@ -2,11 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Random;
+import org.lentilhinge.simulation.VirtualTimeSimulation;
 
 /** Hosts that send requests to one endpoint with a limit, in virtual time. */
-final class RequestLimitSimulation {
+final class RequestLimitSimulation extends VirtualTimeSimulation {
 
   /** The troubles of the hosts, which begin at {@link #TROUBLE_MILLIS}. */
   enum Trouble {
@@ -34,28 +34,15 @@
   private static final long DETECTION_MILLIS = 2_000;
   private static final long PARTITION_MILLIS = 10_000;
 
-  private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final List<Host> hosts = new ArrayList<>();
   private final List<Long> permits = new ArrayList<>();
   private final List<Long> countedArrivals = new ArrayList<>();
   private final RequestLimit limit;
   private final Trouble trouble;
   private final Random random;
-  private long now;
-  private long sequence;
   private boolean partitioned;
   private int mostInWindow;
 
-  private record Event(long atMillis, long sequence, Runnable task) implements Comparable<Event> {
-
-    @Override
-    public int compareTo(Event other) {
-      return atMillis != other.atMillis
-          ? Long.compare(atMillis, other.atMillis)
-          : Long.compare(sequence, other.sequence);
-    }
-  }
-
   private static final class Host {
     private EndpointLimits limits = new EndpointLimits();
     private long toldAtMillis = Long.MAX_VALUE;
@@ -85,11 +72,7 @@
     scheduleRequest(requestsPerSecond);
     schedule(TROUBLE_MILLIS, this::beginTrouble);
     tick();
-    while (!events.isEmpty() && events.peek().atMillis() <= END_MILLIS) {
-      Event event = events.remove();
-      now = event.atMillis();
-      event.task().run();
-    }
+    runEventsUntil(END_MILLIS);
   }
 
   /** Returns the largest number of requests in a window, from hosts that knew the limit. */
@@ -102,11 +85,6 @@
     return permits.stream().filter(at -> at > END_MILLIS - millis).count();
   }
 
-  private void schedule(long delayMillis, Runnable task) {
-    sequence++;
-    events.add(new Event(now + delayMillis, sequence, task));
-  }
-
   private long delay() {
     return 1 + random.nextInt(40);
   }
@@ -114,22 +92,22 @@
   private void beginTrouble() {
     Host pacer = hosts.get(0);
     switch (trouble) {
-      case PACER_FAILS -> pacer.downSinceMillis = now;
-      case PACER_FREEZES -> pacer.frozenUntilMillis = now + 3_000;
+      case PACER_FAILS -> pacer.downSinceMillis = now();
+      case PACER_FREEZES -> pacer.frozenUntilMillis = now() + 3_000;
       case ROLLING_RESTART -> restart(0);
       case PARTITION -> {
         partitioned = true;
         schedule(PARTITION_MILLIS, () -> partitioned = false);
       }
       case MOST_FAIL ->
-          hosts.subList(0, hosts.size() - 1).forEach(host -> host.downSinceMillis = now);
+          hosts.subList(0, hosts.size() - 1).forEach(host -> host.downSinceMillis = now());
       default -> {}
     }
   }
 
   private void restart(int index) {
     Host host = hosts.get(index);
-    host.downSinceMillis = now;
+    host.downSinceMillis = now();
     schedule(
         1_000,
         () -> {
@@ -150,10 +128,10 @@
   /** Returns whether a host takes another one for live; losses are detected late. */
   private boolean seesLive(int viewer, int other) {
     Host host = hosts.get(other);
-    boolean lost = !host.isUp() && now - host.downSinceMillis > DETECTION_MILLIS;
-    boolean silent = now - TROUBLE_MILLIS > DETECTION_MILLIS;
+    boolean lost = !host.isUp() && now() - host.downSinceMillis > DETECTION_MILLIS;
+    boolean silent = now() - TROUBLE_MILLIS > DETECTION_MILLIS;
     return viewer == other
-        || !lost && !(isSeparated(viewer, other) && silent) && now >= host.frozenUntilMillis;
+        || !lost && !(isSeparated(viewer, other) && silent) && now() >= host.frozenUntilMillis;
   }
 
   private int pacerOf(int viewer) {
@@ -171,7 +149,7 @@
       for (int other = 0; other < hosts.size(); other++) {
         live += seesLive(viewer, other) ? 1 : 0;
       }
-      hosts.get(viewer).limits.setHosts(live, hosts.size(), now);
+      hosts.get(viewer).limits.setHosts(live, hosts.size(), now());
     }
     schedule(200, this::tick);
   }
@@ -188,14 +166,14 @@
 
   private void request(int sender) {
     Host host = hosts.get(sender);
-    if (!host.isUp() || now < host.frozenUntilMillis) {
+    if (!host.isUp() || now() < host.frozenUntilMillis) {
       return;
     }
     if (host.limits.find("e").isEmpty()) {
       send(sender);
       return;
     }
-    if (host.limits.exhausted(now).contains("e")) {
+    if (host.limits.exhausted(now()).contains("e")) {
       return;
     }
     int pacer = pacerOf(sender);
@@ -204,18 +182,18 @@
 
   private void pace(int sender, int pacer) {
     Host host = hosts.get(pacer);
-    if (!host.isUp() || now < host.frozenUntilMillis || isSeparated(sender, pacer)) {
+    if (!host.isUp() || now() < host.frozenUntilMillis || isSeparated(sender, pacer)) {
       return;
     }
-    host.limits.learn("e", limit, now);
-    RequestRate rate = host.limits.rate("e", now);
-    if (rate.tryTake(now)) {
-      permits.add(now);
+    host.limits.learn("e", limit, now());
+    RequestRate rate = host.limits.rate("e", now());
+    if (rate.tryTake(now())) {
+      permits.add(now());
       boolean unused = trouble == Trouble.CANCELLED && random.nextInt(5) == 0;
       schedule(delay(), () -> sendUnless(unused, sender));
     } else {
-      long waitMillis = rate.waitMillis(0, now);
-      schedule(delay(), () -> hosts.get(sender).limits.recordExhausted("e", now + waitMillis));
+      long waitMillis = rate.waitMillis(0, now());
+      schedule(delay(), () -> hosts.get(sender).limits.recordExhausted("e", now() + waitMillis));
     }
   }
 
@@ -226,7 +204,7 @@
   }
 
   private void send(int sender) {
-    long sentAtMillis = now;
+    long sentAtMillis = now();
     schedule(
         delay(),
         () -> {
@@ -236,11 +214,11 @@
   }
 
   private void countWindow(int sender) {
-    if (now - hosts.get(sender).toldAtMillis >= TOLD_MILLIS) {
-      countedArrivals.add(now);
+    if (now() - hosts.get(sender).toldAtMillis >= TOLD_MILLIS) {
+      countedArrivals.add(now());
       int count = 0;
       for (int index = countedArrivals.size() - 1;
-          index >= 0 && countedArrivals.get(index) > now - WINDOW_MILLIS;
+          index >= 0 && countedArrivals.get(index) > now() - WINDOW_MILLIS;
           index--) {
         count++;
       }
@@ -253,8 +231,8 @@
     if (!host.isUp()) {
       return;
     }
-    host.toldAtMillis = Math.min(host.toldAtMillis, now);
-    EndpointLimits.Update update = host.limits.recordResponse("e", limit, sentAtMillis, now);
+    host.toldAtMillis = Math.min(host.toldAtMillis, now());
+    EndpointLimits.Update update = host.limits.recordResponse("e", limit, sentAtMillis, now());
     if (update.announced()) {
       for (int other = 0; other < hosts.size(); other++) {
         announce(sender, other);
@@ -270,8 +248,8 @@
         delay(),
         () -> {
           Host host = hosts.get(receiver);
-          if (host.isUp() && now >= host.frozenUntilMillis) {
-            host.limits.receive(new EndpointLimit("e", limit), now);
+          if (host.isUp() && now() >= host.frozenUntilMillis) {
+            host.limits.receive(new EndpointLimit("e", limit), now());
           }
         });
   }
--- a/core/src/test/java/org/lentilhinge/quarantine/QuarantineSimulation.java
+++ b/core/src/test/java/org/lentilhinge/quarantine/QuarantineSimulation.java
@@ -3,15 +3,15 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import org.lentilhinge.simulation.VirtualTimeSimulation;
 
 /**
  * Hosts that send requests to engines, in virtual time. Requests with one part crash each engine
  * that begins to answer them; engines also crash by themselves, and messages are late or lost.
  */
-final class QuarantineSimulation {
+final class QuarantineSimulation extends VirtualTimeSimulation {
 
   private static final int ROUTES = 3;
   private static final int SOUND_PARTS = 40;
@@ -28,13 +28,10 @@
 
   private final Random random;
   private final Trouble trouble;
-  private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final List<PromptQuarantine> hosts = new ArrayList<>();
   private final List<Long> startedAtMillis = new ArrayList<>();
   private final List<Engine> engines = new ArrayList<>();
   private final Set<Integer> crashedIncarnations = new HashSet<>();
-  private long now;
-  private long lastSequence;
   private int lastIncarnation;
   private int fatalCrashes;
   private long fifthCrashAtMillis = Long.MAX_VALUE / 2;
@@ -42,16 +39,6 @@
   private int soundRefused;
   private int soundRequests;
 
-  private record Event(long atMillis, long sequence, Runnable task) implements Comparable<Event> {
-
-    @Override
-    public int compareTo(Event other) {
-      return atMillis != other.atMillis
-          ? Long.compare(atMillis, other.atMillis)
-          : Long.compare(sequence, other.sequence);
-    }
-  }
-
   /** A request at an engine. */
   private static final class Run {
     private final int host;
@@ -89,11 +76,6 @@
     }
   }
 
-  private void schedule(long delayMillis, Runnable task) {
-    lastSequence++;
-    events.add(new Event(now + delayMillis, lastSequence, task));
-  }
-
   /**
    * Runs the simulation.
    *
@@ -107,11 +89,7 @@
     if (trouble != Trouble.NONE) {
       schedule(3_000, this::disturb);
     }
-    while (!events.isEmpty() && events.peek().atMillis() <= endMillis) {
-      Event event = events.remove();
-      now = event.atMillis();
-      event.task().run();
-    }
+    runEventsUntil(endMillis);
   }
 
   private void arrive(double perSecond, long delayMillis, boolean fatal) {
@@ -131,20 +109,20 @@
     int rank = (int) (SOUND_PARTS * Math.pow(random.nextDouble(), 2));
     List<String> parts = List.of(first, fatal ? "fatal" : "sound-" + rank);
     soundRequests += fatal ? 0 : 1;
-    if (hosts.get(host).remainingMillis(parts, now).isPresent()) {
+    if (hosts.get(host).remainingMillis(parts, now()).isPresent()) {
       soundRefused += fatal ? 0 : 1;
       return;
     }
-    List<Engine> up = engines.stream().filter(engine -> engine.upAtMillis <= now).toList();
+    List<Engine> up = engines.stream().filter(engine -> engine.upAtMillis <= now()).toList();
     if (up.isEmpty()) {
       return;
     }
     Engine engine = up.get(random.nextInt(up.size()));
-    boolean inTouch = now - startedAtMillis.get(host) > 4_000;
-    if (fatal && inTouch && now > fifthCrashAtMillis + 4_000) {
+    boolean inTouch = now() - startedAtMillis.get(host) > 4_000;
+    if (fatal && inTouch && now() > fifthCrashAtMillis + 4_000) {
       fatalSentLate++;
     }
-    Run run = new Run(host, parts, now);
+    Run run = new Run(host, parts, now());
     engine.runs.add(run);
     int incarnation = engine.incarnation;
     long beginMillis = 40 + random.nextInt(400);
@@ -158,7 +136,7 @@
     if (fatal) {
       fatalCrashes++;
       if (fatalCrashes == 5) {
-        fifthCrashAtMillis = now;
+        fifthCrashAtMillis = now();
       }
       crash(engine);
       return;
@@ -167,7 +145,7 @@
     PromptQuarantine host = hosts.get(run.host);
     schedule(
         random.nextInt(30),
-        () -> host.recordSurvived("e/" + incarnation, run.parts, run.sentAtMillis, now));
+        () -> host.recordSurvived("e/" + incarnation, run.parts, run.sentAtMillis, now()));
     schedule(RUN_MILLIS, () -> engine.runs.remove(run));
   }
 
@@ -176,7 +154,7 @@
     breakRuns(engine);
     lastIncarnation++;
     engine.incarnation = lastIncarnation;
-    engine.upAtMillis = now + 1_500 + random.nextInt(3_000);
+    engine.upAtMillis = now() + 1_500 + random.nextInt(3_000);
   }
 
   private void breakRuns(Engine engine) {
@@ -188,7 +166,7 @@
         schedule(
             5 + random.nextInt(30),
             () -> {
-              observer.recordBroken("e/" + incarnation, run.parts, run.sentAtMillis, now);
+              observer.recordBroken("e/" + incarnation, run.parts, run.sentAtMillis, now());
               deliver(host);
             });
       }
@@ -202,11 +180,11 @@
   }
 
   private void deliver(int sender) {
-    for (PromptObservation observation : hosts.get(sender).takeUnsent(now)) {
+    for (PromptObservation observation : hosts.get(sender).takeUnsent(now())) {
       for (int receiver = 0; receiver < hosts.size(); receiver++) {
         if (receiver != sender && random.nextInt(20) != 0) {
           PromptQuarantine target = hosts.get(receiver);
-          schedule(1 + random.nextInt(60), () -> target.receive(observation, now));
+          schedule(1 + random.nextInt(60), () -> target.receive(observation, now()));
         }
       }
     }
@@ -220,7 +198,7 @@
       case RESTARTED_HOSTS -> {
         int host = random.nextInt(hosts.size());
         hosts.set(host, new PromptQuarantine(new Random(random.nextLong())));
-        startedAtMillis.set(host, now);
+        startedAtMillis.set(host, now());
       }
       default -> throw new IllegalStateException("no trouble " + trouble);
     }
--- /dev/null
+++ b/core/src/test/java/org/lentilhinge/simulation/package-info.java
@@ -0,0 +1,2 @@
+/** Virtual time for simulations in tests. */
+package org.lentilhinge.simulation;
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreRestoreSimulation.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreRestoreSimulation.java
@@ -11,7 +11,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import org.lentilhinge.fleet.EndpointState;
@@ -28,7 +27,7 @@
 import org.lentilhinge.published.ListingNews;
 
 /** The hosts of a zone and servers that use a store which is restored, in virtual time. */
-final class StoreRestoreSimulation {
+final class StoreRestoreSimulation extends VirtualTimeSimulation {
 
   private static final long TICK_MILLIS = 50;
   private static final long HEARTBEAT_MILLIS = 500;
@@ -44,30 +43,17 @@
   /** The time after which an acknowledged change must be applied, in milliseconds. */
   private static final long BOUND_MILLIS = 3_000;
 
-  private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final RestoredStore store = new RestoredStore();
   private final Map<String, Server> servers = new HashMap<>();
   private final List<Host> hosts = new ArrayList<>();
   private final List<String> faults = new ArrayList<>();
   private final Vertx vertx;
   private final Random random;
-  private long now;
-  private long sequence;
   private long requiredVersion;
   private long storeFailures;
   private long firstFailureAtMillis = Long.MAX_VALUE;
   private long returnedAtMillis;
 
-  private record Event(long atMillis, long sequence, Runnable task) implements Comparable<Event> {
-
-    @Override
-    public int compareTo(Event other) {
-      return atMillis != other.atMillis
-          ? Long.compare(atMillis, other.atMillis)
-          : Long.compare(sequence, other.sequence);
-    }
-  }
-
   private static final class Server {
     private EndpointState state = EndpointState.READY;
     private boolean running = true;
@@ -88,22 +74,12 @@
     schedule(TICK_MILLIS, this::check);
   }
 
-  void schedule(long delayMillis, Runnable task) {
-    sequence++;
-    events.add(new Event(now + delayMillis, sequence, task));
-  }
-
   void at(long millis, Runnable task) {
-    schedule(millis - now, task);
+    schedule(millis - now(), task);
   }
 
   void runUntil(long endMillis) {
-    while (!events.isEmpty() && events.peek().atMillis() <= endMillis) {
-      Event event = events.remove();
-      now = event.atMillis();
-      event.task().run();
-    }
-    now = endMillis;
+    runEventsUntil(endMillis);
   }
 
   /** Returns the broken rules, each with its time. */
@@ -119,8 +95,8 @@
   private void sendHeartbeat(String id) {
     Server server = servers.get(id);
     if (server.running) {
-      if (store.isUp() && now >= server.heartbeatAllowedAtMillis) {
-        store.register(id, 1, server.state, now + EXPIRY_MILLIS);
+      if (store.isUp() && now() >= server.heartbeatAllowedAtMillis) {
+        store.register(id, 1, server.state, now() + EXPIRY_MILLIS);
       }
       schedule(HEARTBEAT_MILLIS, () -> sendHeartbeat(id));
     }
@@ -130,7 +106,7 @@
   void drain(String id) {
     servers.get(id).state = EndpointState.DRAINING;
     if (store.isUp()) {
-      store.register(id, 1, EndpointState.DRAINING, now + EXPIRY_MILLIS);
+      store.register(id, 1, EndpointState.DRAINING, now() + EXPIRY_MILLIS);
     }
     requireAfter(BOUND_MILLIS, () -> forbid(id));
   }
@@ -184,17 +160,17 @@
 
   void failStore() {
     storeFailures++;
-    firstFailureAtMillis = Math.min(firstFailureAtMillis, now);
+    firstFailureAtMillis = Math.min(firstFailureAtMillis, now());
     store.fail();
   }
 
   /** Restores the store; the servers register again one after the other within two seconds. */
   void restoreStore(Runnable copy) {
-    returnedAtMillis = now;
-    store.restore(copy, now, EXPIRY_MILLIS);
+    returnedAtMillis = now();
+    store.restore(copy, now(), EXPIRY_MILLIS);
     servers
         .values()
-        .forEach(server -> server.heartbeatAllowedAtMillis = now + random.nextInt(1_400));
+        .forEach(server -> server.heartbeatAllowedAtMillis = now() + random.nextInt(1_400));
   }
 
   /** Cuts a host off from the store. */
@@ -228,7 +204,7 @@
     private final int index;
     private final HostState state;
     private final StoreFollower follower;
-    private final long startedAtMillis = now;
+    private final long startedAtMillis = now();
     private final Set<String> forbidden = new HashSet<>();
     private final Map<String, Long> joinedAtMillis = new HashMap<>();
     private boolean stopped;
@@ -242,7 +218,7 @@
           new HostContext(
               vertx,
               ForwardFixture.settings(),
-              () -> now,
+              () -> now(),
               new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
               new MetricRegistry());
       state = new HostState(context, ForwardFixture.overlay(ForwardFixture.settings()));
@@ -257,10 +233,10 @@
               new StatusExchange(context, state, new StatusRelay(self), peers),
               state,
               new EndpointLimitRunner(context, state, broadcast, peers));
-      EndpointPool pool = new EndpointPool(vertx, 1_000, () -> now);
+      EndpointPool pool = new EndpointPool(vertx, 1_000, () -> now());
       StoreStateUpdater updater = new StoreStateUpdater(context, state, schedulers, pool, () -> {});
       follower =
-          new StoreFollower(task -> schedule(0, task), () -> now, this, updater, this, random);
+          new StoreFollower(task -> schedule(0, task), () -> now(), this, updater, this, random);
     }
 
     private void stop() {
@@ -278,25 +254,25 @@
     private void check() {
       long current =
           state.configuration().map(configuration -> configuration.version().number()).orElse(0L);
-      boolean settled = store.isUp() && now - knowableAtMillis() > BOUND_MILLIS;
+      boolean settled = store.isUp() && now() - knowableAtMillis() > BOUND_MILLIS;
       if (current < version) {
-        faults.add(now + ": host " + index + " went back from " + version + " to " + current);
+        faults.add(now() + ": host " + index + " went back from " + version + " to " + current);
       }
       if (settled && !cut && current < requiredVersion) {
-        faults.add(now + ": host " + index + " has " + current + " of " + requiredVersion);
+        faults.add(now() + ": host " + index + " has " + current + " of " + requiredVersion);
       }
       version = current;
       for (FleetEndpoint endpoint : state.endpoints().usableEndpoints("s")) {
-        joinedAtMillis.putIfAbsent(endpoint.id(), now);
+        joinedAtMillis.putIfAbsent(endpoint.id(), now());
         if (mustKnow(endpoint.id()) && forbidden.contains(endpoint.id())) {
-          faults.add(now + ": host " + index + " uses " + endpoint.id());
+          faults.add(now() + ": host " + index + " uses " + endpoint.id());
         }
       }
       for (String id : joinedAtMillis.keySet()) {
         Server server = servers.get(id);
         boolean sound = server.running && server.state == EndpointState.READY;
         if (sound && state.endpoints().find(id).isEmpty()) {
-          faults.add(now + ": host " + index + " dropped " + id);
+          faults.add(now() + ": host " + index + " dropped " + id);
         }
       }
     }
@@ -308,7 +284,7 @@
     private boolean mustKnow(String id) {
       boolean seen = joinedAtMillis.get(id) < firstFailureAtMillis;
       long knowableMillis = Math.max(startedAtMillis, returnedAtMillis);
-      return seen || now - knowableMillis > EXPIRY_MILLIS + BOUND_MILLIS;
+      return seen || now() - knowableMillis > EXPIRY_MILLIS + BOUND_MILLIS;
     }
 
     /** Returns when this host could read all that the others know, in milliseconds. */
@@ -358,7 +334,7 @@
     public Future<DeclaredState> awaitDeclaredState(StoreRevision revision, long waitMillis) {
       Promise<DeclaredState> promise = Promise.promise();
       failLater(promise, waitMillis + RESPONSE_TIMEOUT_MILLIS);
-      long untilMillis = now + waitMillis;
+      long untilMillis = now() + waitMillis;
       schedule(
           delay(),
           () -> {
@@ -376,7 +352,7 @@
     /** Goes on across an outage: a store may keep the connections of those that wait. */
     private void await(Promise<DeclaredState> promise, StoreRevision revision, long untilMillis) {
       long after = revision.revision();
-      if (store.isUp() && (store.hasDeclaredAfter(after) || now >= untilMillis)) {
+      if (store.isUp() && (store.hasDeclaredAfter(after) || now() >= untilMillis)) {
         if (store.era() == revision.era()) {
           DeclaredState declared = store.declaredAfter(after);
           schedule(delay(), () -> promise.tryComplete(declared));
@@ -430,7 +406,7 @@
   /** Removes expired entries while the store is up. */
   void removeExpiredEntries() {
     if (store.isUp()) {
-      store.removeExpired(now);
+      store.removeExpired(now());
     }
     schedule(TICK_MILLIS, this::removeExpiredEntries);
   }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ZoneSimulation.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ZoneSimulation.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
 import org.lentilhinge.forward.ForwardConfiguration;
@@ -22,7 +21,7 @@
  * Hosts that follow a store in another region, in virtual time. All transfers take the time that
  * their bytes need on the link between the regions and on the links of the hosts.
  */
-final class ZoneSimulation {
+final class ZoneSimulation extends VirtualTimeSimulation {
 
   private static final long TICK_MILLIS = 50;
   private static final long REGION_DELAY_MILLIS = 30;
@@ -30,27 +29,14 @@
   private static final int LISTING_BYTES = 100_000;
   private static final int PART_BYTES = 16_384;
 
-  private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final MessageCodec codec = new MessageCodec(ForwardMessages.registry());
   private final TreeMap<Long, Published> published = new TreeMap<>();
   private final List<Host> hosts = new ArrayList<>();
   private final Link regionLink;
   private final double hostBytesPerMilli;
   private final Random random;
-  private long now;
-  private long lastSequence;
   private int storeReads;
 
-  private record Event(long atMillis, long sequence, Runnable task) implements Comparable<Event> {
-
-    @Override
-    public int compareTo(Event other) {
-      return atMillis != other.atMillis
-          ? Long.compare(atMillis, other.atMillis)
-          : Long.compare(sequence, other.sequence);
-    }
-  }
-
   /** A configuration in the store, with the length of a response that contains it. */
   private record Published(ForwardConfiguration configuration, int bytes, long atMillis) {}
 
@@ -92,11 +78,6 @@
     zone.forEach(host -> schedule(random.nextInt((int) TICK_MILLIS), host::tick));
   }
 
-  private void schedule(long delayMillis, Runnable task) {
-    lastSequence++;
-    events.add(new Event(now + delayMillis, lastSequence, task));
-  }
-
   /**
    * Publishes a configuration.
    *
@@ -104,17 +85,12 @@
    * @param bytes the length of a response that contains it
    */
   void publish(ForwardConfiguration configuration, int bytes) {
-    published.put((long) published.size() + 1, new Published(configuration, bytes, now));
+    published.put((long) published.size() + 1, new Published(configuration, bytes, now()));
   }
 
   /** Runs all events up to a time, in milliseconds. */
   void runUntil(long endMillis) {
-    while (!events.isEmpty() && events.peek().atMillis() <= endMillis) {
-      Event event = events.remove();
-      now = event.atMillis();
-      event.task().run();
-    }
-    now = endMillis;
+    runEventsUntil(endMillis);
   }
 
   /**
@@ -126,7 +102,7 @@
   long outdatedHosts(long ageMillis) {
     Optional<Long> required =
         published.values().stream()
-            .filter(entry -> entry.atMillis() <= now - ageMillis)
+            .filter(entry -> entry.atMillis() <= now() - ageMillis)
             .map(entry -> entry.configuration().version().number())
             .max(Long::compare);
     return hosts.stream().filter(host -> host.version < required.orElse(0L)).count();
@@ -148,7 +124,8 @@
     private Host(List<Host> zone, int index) {
       this.zone = zone;
       this.index = index;
-      follower = new StoreFollower(task -> schedule(0, task), () -> now, this, this, this, random);
+      follower =
+          new StoreFollower(task -> schedule(0, task), () -> now(), this, this, this, random);
     }
 
     private void tick() {
@@ -158,13 +135,13 @@
 
     /** Transfers a response from the store part by part, as long as this host waits for it. */
     private <T> void respond(Promise<T> promise, T result, int bytes, long timeoutMillis) {
-      ResponseTimeout timeout = ResponseTimeout.ofSilence(timeoutMillis, now);
+      ResponseTimeout timeout = ResponseTimeout.ofSilence(timeoutMillis, now());
       failWithoutProgress(promise, timeout);
       schedule(REGION_DELAY_MILLIS, () -> transferPart(promise, result, bytes, timeout));
     }
 
     private <T> void failWithoutProgress(Promise<T> promise, ResponseTimeout timeout) {
-      long remainingMillis = timeout.remainingMillis(now);
+      long remainingMillis = timeout.remainingMillis(now());
       if (remainingMillis <= 0) {
         promise.tryFail(new IOException("timed out"));
       } else if (!promise.future().isComplete()) {
@@ -178,11 +155,11 @@
         return;
       }
       int part = Math.min(bytes, PART_BYTES);
-      long arrivalMillis = down.transfer(regionLink.transfer(now, part), part);
+      long arrivalMillis = down.transfer(regionLink.transfer(now(), part), part);
       schedule(
-          arrivalMillis - now,
+          arrivalMillis - now(),
           () -> {
-            timeout.recordProgress(now);
+            timeout.recordProgress(now());
             if (bytes > part) {
               transferPart(promise, result, bytes - part, timeout);
             } else {
@@ -222,12 +199,12 @@
     public Future<DeclaredState> awaitDeclaredState(StoreRevision revision, long waitMillis) {
       storeReads++;
       Promise<DeclaredState> promise = Promise.promise();
-      await(promise, revision, now + waitMillis);
+      await(promise, revision, now() + waitMillis);
       return promise.future();
     }
 
     private void await(Promise<DeclaredState> promise, StoreRevision revision, long untilMillis) {
-      long leftMillis = untilMillis - now;
+      long leftMillis = untilMillis - now();
       if (published.lastKey() > revision.revision()) {
         respondWithNewest(promise, leftMillis + RESPONSE_TIMEOUT_MILLIS);
       } else if (leftMillis <= 0) {
@@ -248,8 +225,8 @@
       int bytes = codec.encode(news).length;
       for (Host other : zone) {
         if (other != this) {
-          long arrivalMillis = other.down.transfer(up.transfer(now, bytes), bytes);
-          schedule(arrivalMillis - now, () -> other.receive(index, news));
+          long arrivalMillis = other.down.transfer(up.transfer(now(), bytes), bytes);
+          schedule(arrivalMillis - now(), () -> other.receive(index, news));
         }
       }
     }
