--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -54,6 +54,7 @@
   private final ForwardRoute route;
   private final String service;
   private final RequestProgress progress;
+  private final String digest;
   private final long arrivedAtMillis;
   private final long deadlineAtMillis;
   private final EndpointChoice choice;
@@ -87,6 +88,7 @@
     this.route = route;
     this.service = service;
     this.progress = new RequestProgress(route);
+    this.digest = RequestDigest.of(exchange.request(), exchange.body());
     this.choice = new EndpointChoice(state, context, service, generation().adapter());
     this.resumeAfter = requestMetadata.resumeAfter();
     this.arrivedAtMillis = arrivedAtMillis;
@@ -109,7 +111,9 @@
         "configuration",
         state.configuration().map(ForwardConfiguration::version).orElse(DeclaredVersion.NONE),
         "leftMs",
-        remainingMillis());
+        remainingMillis(),
+        "digest",
+        digest);
     deadlineTimer = context.vertx().setTimer(Math.max(1, remainingMillis()), id -> onDeadline());
     exchange.setDisconnectListener(this::onCallerDisconnected);
     attemptNext();
