--- a/core/src/main/java/org/lentilhinge/quarantine/PromptObservation.java
+++ b/core/src/main/java/org/lentilhinge/quarantine/RequestObservation.java
@@ -13,7 +13,7 @@
  *     that led to the quarantine, in milliseconds
  * @param ageMillis the time since the observation, in milliseconds
  */
-public record PromptObservation(
+public record RequestObservation(
     Kind kind, String incarnation, List<String> parts, long startAgeMillis, long ageMillis) {
 
   /** The kinds of observations. */
@@ -35,7 +35,7 @@
    * @param startAgeMillis the time since the request was sent, in milliseconds
    * @param ageMillis the time since the observation, in milliseconds
    */
-  public PromptObservation {
+  public RequestObservation {
     parts = List.copyOf(parts);
   }
 
@@ -45,8 +45,8 @@
    * @param millis the time for which the observation was held back, in milliseconds
    * @return the same observation with increased ages
    */
-  public PromptObservation delayed(long millis) {
-    return new PromptObservation(
+  public RequestObservation delayed(long millis) {
+    return new RequestObservation(
         kind, incarnation, parts, startAgeMillis + millis, ageMillis + millis);
   }
 }
--- a/core/src/main/java/org/lentilhinge/quarantine/PromptObservations.java
+++ b/core/src/main/java/org/lentilhinge/quarantine/RequestObservations.java
@@ -10,8 +10,8 @@
  * @param relayed whether the receiver passes them on to the other hosts of its zone
  * @param observations the observations
  */
-public record PromptObservations(String host, boolean relayed, List<PromptObservation> observations)
-    implements RelayedMessage {
+public record RequestObservations(
+    String host, boolean relayed, List<RequestObservation> observations) implements RelayedMessage {
 
   /**
    * Copies the list.
@@ -20,12 +20,12 @@
    * @param relayed whether the receiver passes them on
    * @param observations the observations
    */
-  public PromptObservations {
+  public RequestObservations {
     observations = List.copyOf(observations);
   }
 
   @Override
-  public PromptObservations withRelayed(boolean relays) {
-    return new PromptObservations(host, relays, observations);
+  public RequestObservations withRelayed(boolean relays) {
+    return new RequestObservations(host, relays, observations);
   }
 }
--- a/core/src/main/java/org/lentilhinge/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/lentilhinge/quarantine/RequestQuarantine.java
@@ -19,7 +19,7 @@
  * is quarantined once several engines have crashed on it, no request with it has survived, and
  * other requests hardly ever break.
  */
-public final class PromptQuarantine {
+public final class RequestQuarantine {
 
   /** The minimum number of independent crashes. Two may be a coincidence. */
   private static final int MINIMUM_CRASHES = 3;
@@ -65,14 +65,14 @@
     }
   }
 
-  private record Unsent(PromptObservation observation, long sinceMillis) {}
+  private record Unsent(RequestObservation observation, long sinceMillis) {}
 
   /**
    * Creates a quarantine without any parts.
    *
    * @param random spreads the announcements of many hosts
    */
-  public PromptQuarantine(Random random) {
+  public RequestQuarantine(Random random) {
     this.random = random;
   }
 
@@ -105,7 +105,7 @@
       return Optional.empty();
     }
     List<String> recorded = parts.subList(0, Math.min(parts.size(), MAXIMUM_PARTS));
-    send(PromptObservation.Kind.BROKEN, incarnation, recorded, startedAtMillis, nowMillis);
+    send(RequestObservation.Kind.BROKEN, incarnation, recorded, startedAtMillis, nowMillis);
     return addBroken(incarnation, recorded, true, nowMillis, nowMillis);
   }
 
@@ -127,7 +127,7 @@
     Optional<QuarantineChange> lifted = lift(parts, nowMillis);
     if (broken.clear(incarnation, parts, startedAtMillis, nowMillis) || lifted.isPresent()) {
       List<String> sent = parts.subList(0, Math.min(parts.size(), MAXIMUM_PARTS));
-      send(PromptObservation.Kind.SURVIVED, incarnation, sent, startedAtMillis, nowMillis);
+      send(RequestObservation.Kind.SURVIVED, incarnation, sent, startedAtMillis, nowMillis);
     }
     return lifted;
   }
@@ -139,13 +139,13 @@
    * @param nowMillis the current time, in milliseconds
    * @return the resulting change, if any
    */
-  public Optional<QuarantineChange> receive(PromptObservation observation, long nowMillis) {
+  public Optional<QuarantineChange> receive(RequestObservation observation, long nowMillis) {
     long atMillis = nowMillis - observation.ageMillis();
     List<String> parts = observation.parts();
-    if (observation.kind() == PromptObservation.Kind.BROKEN) {
+    if (observation.kind() == RequestObservation.Kind.BROKEN) {
       return addBroken(observation.incarnation(), parts, false, atMillis, nowMillis);
     }
-    if (observation.kind() == PromptObservation.Kind.SURVIVED) {
+    if (observation.kind() == RequestObservation.Kind.SURVIVED) {
       long startedAtMillis = nowMillis - observation.startAgeMillis();
       broken.clear(observation.incarnation(), parts, startedAtMillis, atMillis);
       return lift(parts, atMillis);
@@ -195,7 +195,11 @@
     put(parts, new Quarantine(nowMillis, evidenceSinceMillis));
     broken.removeExplained(parts);
     send(
-        PromptObservation.Kind.QUARANTINED, "", List.copyOf(parts), evidenceSinceMillis, nowMillis);
+        RequestObservation.Kind.QUARANTINED,
+        "",
+        List.copyOf(parts),
+        evidenceSinceMillis,
+        nowMillis);
     return new QuarantineChange(QuarantineChange.Cause.CRASHES, List.copyOf(parts), crashes);
   }
 
@@ -229,7 +233,7 @@
     boolean refuted =
         parts.size() == 1 && broken.hasSurvivedSince(parts.iterator().next(), evidenceSinceMillis);
     if (refuted) {
-      send(PromptObservation.Kind.SURVIVED, "", List.copyOf(parts), nowMillis, nowMillis);
+      send(RequestObservation.Kind.SURVIVED, "", List.copyOf(parts), nowMillis, nowMillis);
       return Optional.empty();
     }
     Quarantine adopted = new Quarantine(sinceMillis, evidenceSinceMillis);
@@ -264,7 +268,7 @@
   }
 
   private void send(
-      PromptObservation.Kind kind,
+      RequestObservation.Kind kind,
       String incarnation,
       List<String> parts,
       long startedAtMillis,
@@ -272,8 +276,8 @@
     if (unsent.size() >= MAXIMUM_UNSENT) {
       unsent.removeFirst();
     }
-    PromptObservation observation =
-        new PromptObservation(kind, incarnation, parts, nowMillis - startedAtMillis, 0);
+    RequestObservation observation =
+        new RequestObservation(kind, incarnation, parts, nowMillis - startedAtMillis, 0);
     unsent.addLast(new Unsent(observation, nowMillis));
   }
 
@@ -284,8 +288,8 @@
    * @param nowMillis the current time, in milliseconds
    * @return the observations to send
    */
-  public List<PromptObservation> takeUnsent(long nowMillis) {
-    List<PromptObservation> observations = new ArrayList<>();
+  public List<RequestObservation> takeUnsent(long nowMillis) {
+    List<RequestObservation> observations = new ArrayList<>();
     for (Unsent entry : unsent) {
       observations.add(entry.observation().delayed(nowMillis - entry.sinceMillis()));
     }
@@ -297,8 +301,8 @@
             entry.announceAtMillis = nextAnnouncement(nowMillis);
             long ageMillis = nowMillis - entry.sinceMillis;
             observations.add(
-                new PromptObservation(
-                    PromptObservation.Kind.QUARANTINED,
+                new RequestObservation(
+                    RequestObservation.Kind.QUARANTINED,
                     "",
                     List.copyOf(parts),
                     nowMillis - entry.evidenceSinceMillis,
--- a/core/src/test/java/org/lentilhinge/quarantine/QuarantineSimulation.java
+++ b/core/src/test/java/org/lentilhinge/quarantine/QuarantineSimulation.java
@@ -28,7 +28,7 @@
 
   private final Random random;
   private final Trouble trouble;
-  private final List<PromptQuarantine> hosts = new ArrayList<>();
+  private final List<RequestQuarantine> hosts = new ArrayList<>();
   private final List<Long> startedAtMillis = new ArrayList<>();
   private final List<Engine> engines = new ArrayList<>();
   private final Set<Integer> crashedIncarnations = new HashSet<>();
@@ -63,7 +63,7 @@
     random = new Random(seed);
     this.trouble = trouble;
     for (int index = 0; index < hostCount; index++) {
-      hosts.add(new PromptQuarantine(new Random(random.nextLong())));
+      hosts.add(new RequestQuarantine(new Random(random.nextLong())));
       startedAtMillis.add(-10_000L);
       int host = index;
       schedule(random.nextInt(200), () -> exchange(host));
@@ -142,7 +142,7 @@
       return;
     }
     run.proceeded = true;
-    PromptQuarantine host = hosts.get(run.host);
+    RequestQuarantine host = hosts.get(run.host);
     schedule(
         random.nextInt(30),
         () -> host.recordSurvived("e/" + incarnation, run.parts, run.sentAtMillis, now()));
@@ -162,7 +162,7 @@
     for (Run run : engine.runs) {
       if (!run.proceeded) {
         int host = run.host;
-        PromptQuarantine observer = hosts.get(host);
+        RequestQuarantine observer = hosts.get(host);
         schedule(
             5 + random.nextInt(30),
             () -> {
@@ -180,10 +180,10 @@
   }
 
   private void deliver(int sender) {
-    for (PromptObservation observation : hosts.get(sender).takeUnsent(now())) {
+    for (RequestObservation observation : hosts.get(sender).takeUnsent(now())) {
       for (int receiver = 0; receiver < hosts.size(); receiver++) {
         if (receiver != sender && random.nextInt(20) != 0) {
-          PromptQuarantine target = hosts.get(receiver);
+          RequestQuarantine target = hosts.get(receiver);
           schedule(1 + random.nextInt(60), () -> target.receive(observation, now()));
         }
       }
@@ -197,7 +197,7 @@
       case RESET_CONNECTIONS -> engines.forEach(this::breakRuns);
       case RESTARTED_HOSTS -> {
         int host = random.nextInt(hosts.size());
-        hosts.set(host, new PromptQuarantine(new Random(random.nextLong())));
+        hosts.set(host, new RequestQuarantine(new Random(random.nextLong())));
         startedAtMillis.set(host, now());
       }
       default -> throw new IllegalStateException("no trouble " + trouble);
--- a/core/src/test/java/org/lentilhinge/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/lentilhinge/quarantine/RequestQuarantineTest.java
@@ -11,16 +11,16 @@
 import org.testng.annotations.Test;
 
 /** Tests which combinations of prompt parts are quarantined, for how long, and which are not. */
-public class PromptQuarantineTest {
+public class RequestQuarantineTest {
 
   private static final List<String> FATAL = List.of("common", "fatal");
   private static final List<String> SOUND = List.of("common", "sound");
 
-  private PromptQuarantine host;
+  private RequestQuarantine host;
 
   @BeforeMethod
   public void create() {
-    host = new PromptQuarantine(new Random(1));
+    host = new RequestQuarantine(new Random(1));
   }
 
   private void serveOthers(long fromMillis, long toMillis) {
@@ -108,8 +108,8 @@
   public void otherHostsAdoptQuarantine() {
     quarantineFatal();
     host.takeUnsent(2_000);
-    PromptQuarantine later = new PromptQuarantine(new Random(2));
-    List<PromptObservation> announced = host.takeUnsent(5_000);
+    RequestQuarantine later = new RequestQuarantine(new Random(2));
+    List<RequestObservation> announced = host.takeUnsent(5_000);
     assertEquals(announced.size(), 1);
     QuarantineChange change = later.receive(announced.get(0).delayed(30), 5_030).orElseThrow();
     assertEquals(change.cause(), QuarantineChange.Cause.OTHER_HOST);
@@ -121,7 +121,7 @@
   @Test
   public void survivedRequestLiftsQuarantineEverywhere() {
     quarantineFatal();
-    PromptQuarantine other = new PromptQuarantine(new Random(2));
+    RequestQuarantine other = new RequestQuarantine(new Random(2));
     host.takeUnsent(2_000).forEach(observation -> other.receive(observation, 2_030));
     assertTrue(other.remainingMillis(FATAL, 2_100).isPresent());
     QuarantineChange change = host.recordSurvived("d/1", FATAL, 1_990, 2_200).orElseThrow();
@@ -129,8 +129,8 @@
     host.takeUnsent(2_210).forEach(observation -> other.receive(observation, 2_240));
     assertTrue(host.remainingMillis(FATAL, 2_300).isEmpty());
     assertTrue(other.remainingMillis(FATAL, 2_300).isEmpty());
-    PromptObservation outdated =
-        new PromptObservation(PromptObservation.Kind.QUARANTINED, "", List.of("fatal"), 400, 400);
+    RequestObservation outdated =
+        new RequestObservation(RequestObservation.Kind.QUARANTINED, "", List.of("fatal"), 400, 400);
     assertTrue(host.receive(outdated, 2_400).isEmpty());
   }
 
@@ -141,9 +141,9 @@
     long agesMillis = 0;
     for (long now = 3_000; now < 600_000; now += 1_000) {
       agesMillis += 500;
-      PromptObservation late =
-          new PromptObservation(
-              PromptObservation.Kind.QUARANTINED, "", List.of("fatal"), agesMillis, agesMillis);
+      RequestObservation late =
+          new RequestObservation(
+              RequestObservation.Kind.QUARANTINED, "", List.of("fatal"), agesMillis, agesMillis);
       assertTrue(host.receive(late, now).isEmpty());
     }
     assertTrue(host.remainingMillis(FATAL, 2_000 + 600_000).isEmpty());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -31,8 +31,8 @@
 import org.lentilhinge.permit.StatusRelay;
 import org.lentilhinge.published.DeclarationNews;
 import org.lentilhinge.published.ListingNews;
-import org.lentilhinge.quarantine.PromptObservations;
-import org.lentilhinge.quarantine.PromptQuarantine;
+import org.lentilhinge.quarantine.RequestObservations;
+import org.lentilhinge.quarantine.RequestQuarantine;
 import org.lentilhinge.runtime.metric.MetricExposition;
 import org.lentilhinge.runtime.peer.MessageCodec;
 import org.lentilhinge.runtime.peer.PeerMetrics;
@@ -163,7 +163,7 @@
             zoneReader,
             random);
     state.setRevisionReader(follower::requestRead);
-    quarantine = new QuarantineRunner(context, new PromptQuarantine(random), broadcast);
+    quarantine = new QuarantineRunner(context, new RequestQuarantine(random), broadcast);
     forwarder =
         new Forwarder(
             context, state, platform.headerTranslator(), pool, permits, quarantine, limits);
@@ -304,7 +304,7 @@
       follower.receive(news);
     } else if (message instanceof DeclarationNews news) {
       follower.receive(host, news);
-    } else if (message instanceof PromptObservations observations) {
+    } else if (message instanceof RequestObservations observations) {
       quarantine.receive(observations);
     } else if (message instanceof EndpointLimitNews news) {
       limits.receive(news);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
@@ -11,7 +11,7 @@
 import org.lentilhinge.permit.PermitReturn;
 import org.lentilhinge.published.DeclarationNews;
 import org.lentilhinge.published.ListingNews;
-import org.lentilhinge.quarantine.PromptObservations;
+import org.lentilhinge.quarantine.RequestObservations;
 import org.lentilhinge.runtime.peer.MessageRegistry;
 
 /** The tags of the messages of the forwarding path. A tag is never reused for another type. */
@@ -29,7 +29,7 @@
         .register(9, HostGossip.class)
         .register(10, HostTable.class)
         .register(11, EngineStatuses.class)
-        .register(15, PromptObservations.class)
+        .register(15, RequestObservations.class)
         .register(16, EndpointLimitNews.class)
         .register(17, ListingNews.class)
         .register(18, DeclarationNews.class);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/QuarantineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/QuarantineRunner.java
@@ -4,19 +4,19 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.lentilhinge.quarantine.PromptObservation;
-import org.lentilhinge.quarantine.PromptObservations;
-import org.lentilhinge.quarantine.PromptQuarantine;
 import org.lentilhinge.quarantine.QuarantineChange;
+import org.lentilhinge.quarantine.RequestObservation;
+import org.lentilhinge.quarantine.RequestObservations;
+import org.lentilhinge.quarantine.RequestQuarantine;
 
 /** Runs the quarantine of prompts: exchanges the observations of all hosts, and logs changes. */
 final class QuarantineRunner {
 
   private final HostContext context;
-  private final PromptQuarantine quarantine;
+  private final RequestQuarantine quarantine;
   private final HostBroadcast broadcast;
 
-  QuarantineRunner(HostContext context, PromptQuarantine quarantine, HostBroadcast broadcast) {
+  QuarantineRunner(HostContext context, RequestQuarantine quarantine, HostBroadcast broadcast) {
     this.context = context;
     this.quarantine = quarantine;
     this.broadcast = broadcast;
@@ -39,20 +39,20 @@
   }
 
   /** Handles the observations of another host, and passes them on if this host is their relay. */
-  void receive(PromptObservations message) {
+  void receive(RequestObservations message) {
     broadcast.receive(message);
-    for (PromptObservation observation : message.observations()) {
+    for (RequestObservation observation : message.observations()) {
       logChange(quarantine.receive(observation, context.now()));
     }
   }
 
   /** Sends what the other hosts do not know yet. Must be called several times per second. */
   void sendUnsent() {
-    List<PromptObservation> observations = quarantine.takeUnsent(context.now());
+    List<RequestObservation> observations = quarantine.takeUnsent(context.now());
     if (observations.isEmpty()) {
       return;
     }
-    broadcast.send(new PromptObservations(context.host(), false, observations));
+    broadcast.send(new RequestObservations(context.host(), false, observations));
   }
 
   private void logChange(Optional<QuarantineChange> changed) {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -31,7 +31,7 @@
 import org.lentilhinge.overlay.RelaySelector;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
-import org.lentilhinge.quarantine.PromptQuarantine;
+import org.lentilhinge.quarantine.RequestQuarantine;
 
 /** A server for callers and a forwarder on real sockets, with scripted endpoints. */
 final class ForwardFixture implements AutoCloseable {
@@ -70,7 +70,7 @@
     RelaySelector relays = new RelaySelector(new HostRecord("10.0.0.1", "a", "north", 1, 1, false));
     HostBroadcast broadcast = new HostBroadcast(context, state, relays, (host, message) -> {});
     QuarantineRunner quarantine =
-        new QuarantineRunner(context, new PromptQuarantine(new Random(1)), broadcast);
+        new QuarantineRunner(context, new RequestQuarantine(new Random(1)), broadcast);
     limits = new EndpointLimitRunner(context, state, broadcast, this::send);
     permits = new PermitClient(this::send, 0);
     forwarder =
