--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -145,21 +145,38 @@
     for (String address : addresses) {
       // The first endpoint is in the host's zone, so that it is selected first.
       String zone = endpoints.isEmpty() ? "a" : "b";
-      endpoints.add(
-          new FleetEndpoint(
-              "e" + endpoints.size(),
-              1,
-              "s",
-              address,
-              zone,
-              EndpointState.READY,
-              0,
-              new StoreRevision(0, 1),
-              List.of()));
+      endpoints.add(endpoint("e" + endpoints.size(), address, zone, 1));
     }
     return endpoints;
   }
 
+  /** Returns an endpoint of the service. */
+  static FleetEndpoint endpoint(String id, String address, String zone, long revision) {
+    return new FleetEndpoint(
+        id,
+        1,
+        "s",
+        address,
+        zone,
+        EndpointState.READY,
+        0,
+        new StoreRevision(0, revision),
+        List.of());
+  }
+
+  /** Updates the host's endpoints from a complete listing of the store. */
+  void list(List<FleetEndpoint> listing, long revision) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    loop.runOnContext(
+        unused -> {
+          state
+              .endpoints()
+              .updateFromListing(listing, new StoreRevision(0, revision), context.now());
+          done.complete(null);
+        });
+    done.join();
+  }
+
   /** Returns the membership of a host that knows only its seeds. */
   static HostOverlay overlay(ForwardSettings settings) {
     HostRecord self =
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ScriptedEndpoint.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ScriptedEndpoint.java
@@ -20,6 +20,7 @@
   private final List<NetSocket> sockets = new CopyOnWriteArrayList<>();
   private final CountDownLatch closed = new CountDownLatch(1);
   private final int port;
+  private volatile boolean crashed;
 
   /**
    * Starts an endpoint.
@@ -79,6 +80,17 @@
     return sockets.size();
   }
 
+  /** Ends the endpoint: closes its port and all connections. */
+  void crash() {
+    crashed = true;
+    server.close();
+    sockets.forEach(NetSocket::close);
+  }
+
+  boolean isCrashed() {
+    return crashed;
+  }
+
   boolean awaitClosed() throws InterruptedException {
     return closed.await(WAIT_SECONDS, TimeUnit.SECONDS);
   }
