--- a/core/src/main/java/org/lentilhinge/fleet/FleetEndpoint.java
+++ b/core/src/main/java/org/lentilhinge/fleet/FleetEndpoint.java
@@ -16,6 +16,7 @@
  * @param acceptedOrders the number of orders that it has accepted in this incarnation
  * @param revision the state of the store after the registration
  * @param models the base models that it has loaded
+ * @param softwareVersion the version of its software, without any order
  */
 public record FleetEndpoint(
     String id,
@@ -26,7 +27,8 @@
     EndpointState state,
     long acceptedOrders,
     StoreRevision revision,
-    List<String> models) {
+    List<String> models,
+    String softwareVersion) {
 
   /**
    * Copies the models.
@@ -40,6 +42,7 @@
    * @param acceptedOrders the number of accepted orders
    * @param revision the revision
    * @param models the models
+   * @param softwareVersion the version of the software
    */
   public FleetEndpoint {
     models = List.copyOf(models);
--- a/core/src/main/java/org/lentilhinge/published/KnownListing.java
+++ b/core/src/main/java/org/lentilhinge/published/KnownListing.java
@@ -87,6 +87,7 @@
                   endpoint.address(),
                   endpoint.zone(),
                   endpoint.state().name(),
+                  endpoint.softwareVersion(),
                   String.join(",", endpoint.models())));
     }
     return digest;
--- a/core/src/test/java/org/lentilhinge/fleet/EndpointRegistryTest.java
+++ b/core/src/test/java/org/lentilhinge/fleet/EndpointRegistryTest.java
@@ -25,7 +25,8 @@
         state,
         0,
         new StoreRevision(1, revision),
-        List.of());
+        List.of(),
+        "v1");
   }
 
   @Test
@@ -91,7 +92,16 @@
 
   private static FleetEndpoint restored(long era, EndpointState state, long revision) {
     return new FleetEndpoint(
-        "one", 1, "s", "10.0.0.1:80", "a", state, 0, new StoreRevision(era, revision), List.of());
+        "one",
+        1,
+        "s",
+        "10.0.0.1:80",
+        "a",
+        state,
+        0,
+        new StoreRevision(era, revision),
+        List.of(),
+        "v1");
   }
 
   // Entries with lower revisions were taken for old ones after the store was restored.
--- a/core/src/test/java/org/lentilhinge/forward/EndpointScoresTest.java
+++ b/core/src/test/java/org/lentilhinge/forward/EndpointScoresTest.java
@@ -29,7 +29,8 @@
         EndpointState.READY,
         0,
         new StoreRevision(0, 1),
-        List.of());
+        List.of(),
+        "v1");
   }
 
   private String selected(Set<String> excluded, long nowMillis) {
--- a/core/src/test/java/org/lentilhinge/permit/EngineSelectorTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineSelectorTest.java
@@ -33,7 +33,8 @@
         EndpointState.READY,
         0,
         new StoreRevision(0, 1),
-        List.of("m"));
+        List.of("m"),
+        "v1");
   }
 
   private String selected(EngineSelector selector, String adapter, long nowMillis) {
--- a/core/src/test/java/org/lentilhinge/published/KnownListingTest.java
+++ b/core/src/test/java/org/lentilhinge/published/KnownListingTest.java
@@ -27,7 +27,8 @@
         state,
         revision,
         new StoreRevision(0, revision),
-        List.of("m"));
+        List.of("m"),
+        "v1");
   }
 
   private static FleetEndpoint ready(String id, long revision) {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/EndpointChoiceTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/EndpointChoiceTest.java
@@ -78,7 +78,8 @@
           EndpointState.READY,
           0,
           new StoreRevision(1, 1),
-          List.of("m"));
+          List.of("m"),
+          "v1");
     }
 
     private EndpointChoice choice() {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -153,6 +153,12 @@
 
   /** Returns an endpoint of the service. */
   static FleetEndpoint endpoint(String id, String address, String zone, long revision) {
+    return endpoint(id, address, zone, revision, "v1");
+  }
+
+  /** Returns an endpoint of the service that runs a version of the software. */
+  static FleetEndpoint endpoint(
+      String id, String address, String zone, long revision, String softwareVersion) {
     return new FleetEndpoint(
         id,
         1,
@@ -162,7 +168,8 @@
         EndpointState.READY,
         0,
         new StoreRevision(0, revision),
-        List.of());
+        List.of(),
+        softwareVersion);
   }
 
   /** Updates the host's endpoints from a complete listing of the store. */
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/HostStateTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/HostStateTest.java
@@ -82,7 +82,8 @@
         EndpointState.READY,
         0,
         new StoreRevision(0, 1),
-        List.of("m"));
+        List.of("m"),
+        "v1");
   }
 
   @Test
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineRunnerTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineRunnerTest.java
@@ -45,7 +45,8 @@
           EndpointState.READY,
           0,
           new StoreRevision(0, 1),
-          List.of("m"));
+          List.of("m"),
+          "v1");
 
   private final Vertx vertx = Vertx.vertx();
   private final Context loop = vertx.getOrCreateContext();
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/RestoredStore.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/RestoredStore.java
@@ -86,7 +86,8 @@
             state,
             0,
             position(era, contents.revision),
-            List.of());
+            List.of(),
+            "v1");
     contents.entries.put(id, new Entry(endpoint, expiresAtMillis));
   }
 
@@ -118,7 +119,8 @@
         endpoint.state(),
         endpoint.acceptedOrders(),
         position(era, endpoint.revision().revision()),
-        endpoint.models());
+        endpoint.models(),
+        "v1");
   }
 
   boolean hasDeclaredAfter(long after) {
