Keep each stream at the software version that began it

What two versions write does not fit together, and nothing shows the seam.

Cause: versions were not read, so that any endpoint of the service could go on with a stream, ours or one that a caller resumes.

In one response only endpoints of the version that sent the first event are chosen, or the response is broken off. For a stream that a caller resumes, the version is that of the chain's first request (Resumes): known here, or to one of three hosts that keep copies (rendezvous hashing) while the service may have had several versions, or certain because the service has had only one since before the stream can have begun, by a listing without gaps. Otherwise the request is refused at once as not run: after a loss of all hosts nobody knows which endpoints have left.

--- a/core/src/main/java/org/lentilhinge/fleet/EndpointRegistry.java
+++ b/core/src/main/java/org/lentilhinge/fleet/EndpointRegistry.java
@@ -37,7 +37,11 @@
   /** The number of gone incarnations that are remembered. */
   private static final int MAXIMUM_GONE_INCARNATIONS = 10_000;
 
+  /** The time for which the versions of endpoints that have gone are remembered. */
+  private static final long VERSION_RETENTION_MILLIS = 600_000;
+
   private final Map<String, FleetEndpoint> endpoints = new HashMap<>();
+  private final ServiceVersions versions = new ServiceVersions();
   private final Set<String> goneIncarnations = new LinkedHashSet<>();
   private final Set<String> drainingIncarnations = new HashSet<>();
   private Optional<Long> listedAtMillis = Optional.empty();
@@ -85,9 +89,17 @@
     if (nowMillis - storeRecoveredAtMillis >= REREGISTRATION_MILLIS) {
       removeMissing(listedIds, changes);
     }
+    recordVersions(nowMillis);
     return changes;
   }
 
+  private void recordVersions(long nowMillis) {
+    versions.expire(nowMillis - VERSION_RETENTION_MILLIS);
+    for (FleetEndpoint endpoint : endpoints.values()) {
+      versions.recordListed(endpoint.service(), endpoint.softwareVersion(), nowMillis);
+    }
+  }
+
   /** Indicates whether an entry is of an endpoint that had gone before the store was restored. */
   private boolean isStale(FleetEndpoint entry, long nowMillis) {
     return goneIncarnations.contains(entry.incarnation())
@@ -215,6 +227,20 @@
         && nowMillis - listedAtMillis.get() <= MAXIMUM_LISTING_GAP_MILLIS;
   }
 
+  /**
+   * Returns the only software version that the endpoints of a service have had since a time.
+   *
+   * @param service the service
+   * @param sinceMillis the time, in milliseconds; at most ten minutes ago
+   * @param nowMillis the current time, in milliseconds
+   * @return the version, or empty if there was more than one or the store was not read all the time
+   */
+  public Optional<String> onlyVersionSince(String service, long sinceMillis, long nowMillis) {
+    return isListedSince(sinceMillis, nowMillis)
+        ? versions.onlyVersionSince(service, sinceMillis)
+        : Optional.empty();
+  }
+
   /**
    * Returns the age of the latest listing.
    *
--- /dev/null
+++ b/core/src/test/java/org/lentilhinge/resume/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the software versions of streams. */
+package org.lentilhinge.resume;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -135,7 +135,7 @@
       // The endpoint may have become unusable while the connection was opened.
       result.result().close();
       end(AttemptOutcome.NOT_SENT, "endpoint-left");
-    } else if (request.isQuarantined()) {
+    } else if (request.quarantine().isRefused()) {
       result.result().close();
       end(AttemptOutcome.NOT_SENT, "quarantined");
     } else {
@@ -225,7 +225,7 @@
       startStream();
       eventGroups++;
       if (eventGroups == PROCEEDING_EVENT_GROUPS) {
-        recordSurvived(request.sharedParts(), UNKNOWN_DIGEST);
+        recordSurvived(request.quarantine().sharedParts(), UNKNOWN_DIGEST);
       }
       exchange.write(complete);
     }
@@ -253,6 +253,7 @@
     if (!exchange.isResponseStarted()) {
       HttpResponse httpResponse = response.orElseThrow();
       exchange.begin(httpResponse.status(), responseHeaders(httpResponse));
+      request.onStreamStarted(endpoint);
       request.onResponseStarted();
     }
   }
@@ -290,7 +291,7 @@
       exchange.respond(HttpResponseStatus.valueOf(status), responseHeaders(httpResponse), body);
       request.onResponseStarted();
       if (httpResponse.status().codeClass() == HttpStatusClass.SUCCESS && isDelimited()) {
-        recordSurvived(List.of(), request.digest());
+        recordSurvived(List.of(), request.quarantine().digest());
       }
       end(AttemptOutcome.ANSWERED, "whole");
     }
@@ -306,7 +307,9 @@
       exchange.end();
       if (isDelimited()) {
         boolean proceeded = eventGroups >= PROCEEDING_EVENT_GROUPS;
-        recordSurvived(proceeded ? List.of() : request.sharedParts(), request.digest());
+        recordSurvived(
+            proceeded ? List.of() : request.quarantine().sharedParts(),
+            request.quarantine().digest());
       }
       end(AttemptOutcome.ANSWERED, "whole");
     }
@@ -362,8 +365,8 @@
         .quarantine()
         .recordBroken(
             run(
-                atBeginning ? request.sharedParts() : List.of(),
-                connectionEnded ? request.digest() : UNKNOWN_DIGEST));
+                atBeginning ? request.quarantine().sharedParts() : List.of(),
+                connectionEnded ? request.quarantine().digest() : UNKNOWN_DIGEST));
   }
 
   private RequestRun run(List<String> parts, String digest) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
@@ -21,6 +21,7 @@
   private final String service;
   private final String adapter;
   private final Set<String> excluded = new HashSet<>();
+  private Optional<String> softwareVersion = Optional.empty();
   private int permitRequests;
 
   /**
@@ -72,7 +73,18 @@
   }
 
   private Collection<FleetEndpoint> usable() {
-    return state.endpoints().usableEndpoints(service);
+    return state.endpoints().usableEndpoints(service).stream()
+        .filter(endpoint -> isAllowed(endpoint.softwareVersion()))
+        .toList();
+  }
+
+  private boolean isAllowed(String version) {
+    return softwareVersion.map(version::equals).orElse(true);
+  }
+
+  /** Restricts the choice to endpoints with a version of the software. */
+  void restrictTo(String version) {
+    softwareVersion = Optional.of(version);
   }
 
   private boolean isOutOfPermitRequests() {
@@ -99,6 +111,9 @@
 
   /** Returns why no endpoint is left, for the log. */
   String missingReason() {
+    if (softwareVersion.isPresent() && usable().isEmpty()) {
+      return "no-endpoint-of-version";
+    }
     if (isEngineService() && isOutOfPermitRequests()) {
       return "no-room";
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -33,6 +33,10 @@
 import org.lentilhinge.published.ListingNews;
 import org.lentilhinge.quarantine.RequestObservations;
 import org.lentilhinge.quarantine.RequestQuarantine;
+import org.lentilhinge.resume.StreamOriginAnswer;
+import org.lentilhinge.resume.StreamOriginExchange;
+import org.lentilhinge.resume.StreamOriginNews;
+import org.lentilhinge.resume.StreamOriginQuery;
 import org.lentilhinge.runtime.metric.MetricExposition;
 import org.lentilhinge.runtime.peer.MessageCodec;
 import org.lentilhinge.runtime.peer.PeerMetrics;
@@ -95,6 +99,7 @@
   private final StoreFollower follower;
   private final QuarantineRunner quarantine;
   private final EndpointLimitRunner limits;
+  private final StreamOriginExchange streamOrigins;
   private final Forwarder forwarder;
   private final CallerServer callerServer;
   private final List<CallerServer> operationsServers;
@@ -164,9 +169,22 @@
             random);
     state.setRevisionReader(follower::requestRead);
     quarantine = new QuarantineRunner(context, state, new RequestQuarantine(random), broadcast);
+    streamOrigins =
+        new StreamOriginExchange(
+            context.host(),
+            () -> state.hosts().candidates().stream().map(HostRecord::host).toList(),
+            state.endpoints()::onlyVersionSince,
+            sender::send);
     forwarder =
         new Forwarder(
-            context, state, platform.headerTranslator(), pool, permits, quarantine, limits);
+            context,
+            state,
+            platform.headerTranslator(),
+            pool,
+            permits,
+            quarantine,
+            limits,
+            streamOrigins);
     callerServer = createServer(settings.callerAddress(), forwarder::accept);
     operationsServers = createOperationsServers(settings);
   }
@@ -308,6 +326,12 @@
       quarantine.receive(observations);
     } else if (message instanceof EndpointLimitNews news) {
       limits.receive(news);
+    } else if (message instanceof StreamOriginNews news) {
+      streamOrigins.receive(news, context.now());
+    } else if (message instanceof StreamOriginQuery query) {
+      streamOrigins.receive(host, query, context.now());
+    } else if (message instanceof StreamOriginAnswer answer) {
+      streamOrigins.receive(answer);
     } else {
       overlay.receive(host, message);
     }
@@ -335,6 +359,7 @@
     overlay.tick();
     schedulers.tick();
     follower.tick();
+    streamOrigins.tick(context.now());
     if (ticks % TICKS_PER_RELAY == 0) {
       statuses.flush();
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
@@ -12,6 +12,9 @@
 import org.lentilhinge.published.DeclarationNews;
 import org.lentilhinge.published.ListingNews;
 import org.lentilhinge.quarantine.RequestObservations;
+import org.lentilhinge.resume.StreamOriginAnswer;
+import org.lentilhinge.resume.StreamOriginNews;
+import org.lentilhinge.resume.StreamOriginQuery;
 import org.lentilhinge.runtime.peer.MessageRegistry;
 
 /** The tags of the messages of the forwarding path. A tag is never reused for another type. */
@@ -32,6 +35,9 @@
         .register(15, RequestObservations.class)
         .register(16, EndpointLimitNews.class)
         .register(17, ListingNews.class)
-        .register(18, DeclarationNews.class);
+        .register(18, DeclarationNews.class)
+        .register(19, StreamOriginNews.class)
+        .register(20, StreamOriginQuery.class)
+        .register(21, StreamOriginAnswer.class);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -44,19 +43,19 @@
   private static final long DEFAULT_RETRY_MILLIS = 400;
 
   private static final int MAXIMUM_URGENCY_RANK = 9;
-  private static final String QUARANTINED_PROMPT = "quarantined-prompt";
-  private static final String QUARANTINED_REQUEST = "quarantined-request";
   private static final String SUSPECTED = "suspected-of-crashes";
 
   private final Forwarder forwarder;
   private final HostContext context;
   private final HostState state;
+  private final RequestLog log;
   private final CallerExchange exchange;
   private final RequestMetadata requestMetadata;
   private final ForwardRoute route;
   private final String service;
   private final RequestProgress progress;
-  private final String digest;
+  private final QuarantineCheck quarantine;
+  private final StreamContinuation continuation;
   private final long arrivedAtMillis;
   private final long deadlineAtMillis;
   private final EndpointChoice choice;
@@ -85,12 +84,19 @@
     this.forwarder = forwarder;
     this.context = forwarder.context();
     this.state = forwarder.state();
+    this.log = new RequestLog(context.log(), requestMetadata.requestId());
     this.exchange = exchange;
     this.requestMetadata = requestMetadata;
     this.route = route;
     this.service = service;
     this.progress = new RequestProgress(route);
-    this.digest = RequestDigest.of(exchange.request(), exchange.body());
+    this.quarantine =
+        new QuarantineCheck(
+            forwarder.quarantine(),
+            generation().sharedParts(),
+            RequestDigest.of(exchange.request(), exchange.body()));
+    this.continuation =
+        new StreamContinuation(context, forwarder.streamOrigins(), requestMetadata, route, service);
     this.choice = new EndpointChoice(state, context, service, generation().adapter());
     this.resumeAfter = requestMetadata.resumeAfter();
     this.arrivedAtMillis = arrivedAtMillis;
@@ -102,7 +108,7 @@
   }
 
   void start() {
-    log(
+    log.write(
         "request",
         "route",
         route.name(),
@@ -115,9 +121,32 @@
         "leftMs",
         remainingMillis(),
         "digest",
-        digest);
+        quarantine.digest());
     deadlineTimer = context.vertx().setTimer(Math.max(1, remainingMillis()), id -> onDeadline());
     exchange.setDisconnectListener(this::onCallerDisconnected);
+    if (continuation.isResumed()) {
+      continuation.findVersion(this::onStreamVersion);
+    } else {
+      attemptNext();
+    }
+  }
+
+  private void onStreamVersion(Optional<String> version) {
+    if (finished) {
+      return;
+    }
+    log.write(
+        "resume",
+        "first",
+        requestMetadata.resumedRequestId().orElse("-"),
+        "version",
+        version.orElse("unknown"));
+    if (version.isEmpty()) {
+      suggestRetryAfter(continuation.maximumAgeMillis());
+      fail("unknown-version");
+      return;
+    }
+    choice.restrictTo(version.get());
     attemptNext();
   }
 
@@ -131,9 +160,9 @@
     }
     if (remainingMillis() < MINIMUM_ATTEMPT_MILLIS) {
       onDeadline();
-    } else if (isQuarantined()) {
-      fail(quarantineReason());
-    } else if (!progress.isCertainlyNotRun() && forwarder.quarantine().isSuspected(digest)) {
+    } else if (quarantine.isRefused()) {
+      fail(quarantine.reason());
+    } else if (!progress.isCertainlyNotRun() && quarantine.isSuspected()) {
       fail(SUSPECTED);
     } else if (progress.isRetry() && !trySpendRetry()) {
       fail("no-retry-budget");
@@ -142,22 +171,8 @@
     }
   }
 
-  /** Indicates whether the request must not be sent to any endpoint for now. */
-  boolean isQuarantined() {
-    return forwarder.quarantine().remainingMillis(sharedParts(), digest).isPresent();
-  }
-
-  private String quarantineReason() {
-    return forwarder.quarantine().remainingMillis(sharedParts(), "").isPresent()
-        ? QUARANTINED_PROMPT
-        : QUARANTINED_REQUEST;
-  }
-
-  List<String> sharedParts() {
-    return requestMetadata
-        .generation()
-        .map(RequestMetadata.Generation::sharedParts)
-        .orElse(List.of());
+  QuarantineCheck quarantine() {
+    return quarantine;
   }
 
   private boolean trySpendRetry() {
@@ -204,7 +219,7 @@
             remainingTargetMillis,
             remainingMillis(),
             state.limits().find(engine.incarnation()));
-    log(
+    log.write(
         "ask",
         "engine",
         engine.id(),
@@ -245,8 +260,8 @@
     if (finished) {
       return;
     }
-    if (answer.granted() && isQuarantined()) {
-      fail(quarantineReason());
+    if (answer.granted() && quarantine.isRefused()) {
+      fail(quarantine.reason());
       return;
     }
     if (answer.granted()) {
@@ -255,7 +270,7 @@
     }
     permit = Optional.empty();
     choice.exclude(engine);
-    log("not-permitted", "engine", engine.id(), "why", answer.reason());
+    log.write("not-permitted", "engine", engine.id(), "why", answer.reason());
     if (answer.isLimited()) {
       state
           .limits()
@@ -277,7 +292,7 @@
   }
 
   private void logRoute(FleetEndpoint endpoint) {
-    log(
+    log.write(
         "route",
         "endpoint",
         endpoint.id(),
@@ -307,14 +322,18 @@
     nextAttempt.start();
   }
 
-  String digest() {
-    return digest;
-  }
-
   Optional<String> requestId() {
     return requestMetadata.requestId();
   }
 
+  /** Keeps the stream at the software version of the events that the caller receives. */
+  void onStreamStarted(FleetEndpoint endpoint) {
+    if (route.resumable()) {
+      choice.restrictTo(endpoint.softwareVersion());
+      continuation.recordStart(endpoint);
+    }
+  }
+
   /** Records the time until the first part of the response was written to the caller. */
   void onResponseStarted() {
     context
@@ -357,26 +376,7 @@
       String reason,
       Optional<String> lastEventId) {
     FleetEndpoint endpoint = endedAttempt.endpoint();
-    log(
-        "attempt",
-        "endpoint",
-        endpoint.id(),
-        "outcome",
-        outcome,
-        "why",
-        reason,
-        "status",
-        endedAttempt.status(),
-        "firstMs",
-        endedAttempt.firstEventMillis(),
-        "pauseMs",
-        endedAttempt.longestPauseMillis(),
-        "tookMs",
-        endedAttempt.elapsedMillis(),
-        "parts",
-        String.join(",", sharedParts()),
-        "limit",
-        endedAttempt.requestLimit().map(limit -> String.valueOf(limit.perSecond())).orElse("none"));
+    log.writeAttempt(endedAttempt, outcome, reason, quarantine.sharedParts());
     attempt = Optional.empty();
     releasePermit(permitOutcome(outcome, endedAttempt.status()), endedAttempt.firstEventMillis());
     if (finished) {
@@ -466,7 +466,7 @@
 
   /** Returns the time after which the caller should send the request again, in milliseconds. */
   private long retryDelayMillis() {
-    OptionalLong quarantineMillis = forwarder.quarantine().remainingMillis(sharedParts(), digest);
+    OptionalLong quarantineMillis = quarantine.remainingMillis();
     if (quarantineMillis.isPresent()) {
       return quarantineMillis.getAsLong();
     }
@@ -480,7 +480,7 @@
     failedResponseTimer.ifPresent(context.vertx()::cancelTimer);
     releasePermit(PermitReturn.Outcome.DONE, 0);
     forwarder.count("ended." + outcome);
-    log(
+    log.write(
         "end",
         "outcome",
         outcome,
@@ -489,12 +489,4 @@
         "tookMs",
         context.now() - arrivedAtMillis);
   }
-
-  private void log(String event, Object... fields) {
-    Object[] allFields = new Object[fields.length + 2];
-    allFields[0] = "id";
-    allFields[1] = requestMetadata.requestId().orElse("-");
-    System.arraycopy(fields, 0, allFields, 2, fields.length);
-    context.log().line(event, allFields);
-  }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -8,6 +8,7 @@
 import org.lentilhinge.forward.ForwardRoute;
 import org.lentilhinge.identity.DeclaredVersion;
 import org.lentilhinge.lease.RendezvousHash;
+import org.lentilhinge.resume.StreamOriginExchange;
 
 /** Finds the route of each caller's request, and starts a {@link ForwardedRequest} for it. */
 final class Forwarder {
@@ -22,6 +23,7 @@
   private final PermitClient permits;
   private final QuarantineRunner quarantine;
   private final EndpointLimitRunner limits;
+  private final StreamOriginExchange streamOrigins;
   private final StartupRequestBuffer startupBuffer;
 
   Forwarder(
@@ -31,7 +33,8 @@
       EndpointPool pool,
       PermitClient permits,
       QuarantineRunner quarantine,
-      EndpointLimitRunner limits) {
+      EndpointLimitRunner limits,
+      StreamOriginExchange streamOrigins) {
     this.context = context;
     this.state = state;
     this.headerTranslator = headerTranslator;
@@ -39,6 +42,7 @@
     this.permits = permits;
     this.quarantine = quarantine;
     this.limits = limits;
+    this.streamOrigins = streamOrigins;
     this.startupBuffer = new StartupRequestBuffer(context.now());
   }
 
@@ -70,6 +74,10 @@
     return limits;
   }
 
+  StreamOriginExchange streamOrigins() {
+    return streamOrigins;
+  }
+
   void count(String name) {
     context.metrics().counter(MetricRegistry.name("forward", name)).inc();
   }
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestLog.java
@@ -0,0 +1,51 @@
+package org.lentilhinge.runtime.forward;
+
+import java.util.List;
+import java.util.Optional;
+import org.lentilhinge.forward.AttemptOutcome;
+
+/** Writes the log lines of one request, each with its id. */
+final class RequestLog {
+
+  private final EventLog log;
+  private final String requestId;
+
+  RequestLog(EventLog log, Optional<String> requestId) {
+    this.log = log;
+    this.requestId = requestId.orElse("-");
+  }
+
+  /** Writes a line with the names and values of its fields. */
+  void write(String event, Object... fields) {
+    Object[] allFields = new Object[fields.length + 2];
+    allFields[0] = "id";
+    allFields[1] = requestId;
+    System.arraycopy(fields, 0, allFields, 2, fields.length);
+    log.line(event, allFields);
+  }
+
+  /** Writes the line of an attempt that has ended. */
+  void writeAttempt(
+      EndpointAttempt attempt, AttemptOutcome outcome, String reason, List<String> sharedParts) {
+    write(
+        "attempt",
+        "endpoint",
+        attempt.endpoint().id(),
+        "outcome",
+        outcome,
+        "why",
+        reason,
+        "status",
+        attempt.status(),
+        "firstMs",
+        attempt.firstEventMillis(),
+        "pauseMs",
+        attempt.longestPauseMillis(),
+        "tookMs",
+        attempt.elapsedMillis(),
+        "parts",
+        String.join(",", sharedParts),
+        "limit",
+        attempt.requestLimit().map(limit -> String.valueOf(limit.perSecond())).orElse("none"));
+  }
+}
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestMetadata.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestMetadata.java
@@ -11,12 +11,15 @@
  * @param remainingMillis the time until the caller's deadline, in milliseconds
  * @param generation the requested generation, if the request is for a model engine
  * @param resumeAfter the id of the last event that the caller has received
+ * @param resumedRequestId the id of the request that received the first event of the stream that
+ *     the caller resumes
  */
 public record RequestMetadata(
     Optional<String> requestId,
     OptionalLong remainingMillis,
     Optional<Generation> generation,
-    Optional<String> resumeAfter) {
+    Optional<String> resumeAfter,
+    Optional<String> resumedRequestId) {
 
   /**
    * The parameters of a generation.
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -32,6 +32,7 @@
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.quarantine.RequestQuarantine;
+import org.lentilhinge.resume.StreamOriginExchange;
 
 /** A server for callers and a forwarder on real sockets, with scripted endpoints. */
 final class ForwardFixture implements AutoCloseable {
@@ -76,7 +77,18 @@
     permits = new PermitClient(this::send, 0);
     forwarder =
         new Forwarder(
-            context, state, new PlainHeaderTranslator(), pool, permits, quarantine, limits);
+            context,
+            state,
+            new PlainHeaderTranslator(),
+            pool,
+            permits,
+            quarantine,
+            limits,
+            new StreamOriginExchange(
+                context.host(),
+                List::of,
+                state.endpoints()::onlyVersionSince,
+                (host, message) -> {}));
     CompletableFuture<CallerServer> created = new CompletableFuture<>();
     loop = vertx.getOrCreateContext();
     CompletableFuture<Integer> listening = new CompletableFuture<>();
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/PlainHeaderTranslator.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/PlainHeaderTranslator.java
@@ -17,7 +17,8 @@
         deadline == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadline)),
         Optional.ofNullable(headers.get("X-Parts"))
             .map(parts -> new RequestMetadata.Generation("m", "", 1, 1, List.of(parts.split(",")))),
-        Optional.ofNullable(headers.get("X-Resume")));
+        Optional.ofNullable(headers.get("X-Resume")),
+        Optional.ofNullable(headers.get("X-Resumes")));
   }
 
   @Override
