Do not write another response into a stream that has begun

Cause: EndpointAttempt passed on any complete response without a look at whether one had begun; nothing forbade the second head. Class: one exchange with two writers. CallerExchange now aborts instead of writing a second response; an attempt whose response is no stream is given up at its head, and another endpoint may be tried. Refusals and statuses that assure that nothing ran were not passed on before.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerExchange.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerExchange.java
@@ -71,9 +71,9 @@
     return finished;
   }
 
-  /** Begins a response whose body is written in parts. */
+  /** Begins a response whose body is written in parts. A second response aborts the first one. */
   void begin(HttpResponseStatus status, HttpHeaders headers) {
-    if (finished) {
+    if (isRefused()) {
       return;
     }
     responseStarted = true;
@@ -109,9 +109,17 @@
     }
   }
 
-  /** Writes a response with a complete body. */
+  /** Indicates whether a response must not be written; aborts one that has begun. */
+  private boolean isRefused() {
+    if (responseStarted) {
+      abort();
+    }
+    return finished;
+  }
+
+  /** Writes a response with a complete body. A second response aborts the first one. */
   void respond(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
-    if (finished) {
+    if (isRefused()) {
       return;
     }
     responseStarted = true;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -195,9 +195,16 @@
         success && route.kind() == RequestKind.STREAM && contentType.startsWith(EVENT_STREAM);
     if (success && !responseMetadata.signed()) {
       fail("unsigned");
+    } else if (exchange.isResponseStarted() && !streaming && !isRefusal(responseMetadata)) {
+      // The caller has received events, which only further events may follow.
+      fail("no-stream");
     }
   }
 
+  private boolean isRefusal(ResponseMetadata responseMetadata) {
+    return responseMetadata.notExecuted() || status() == 421;
+  }
+
   /** Records the stated limit, or its end if the response certainly is the endpoint's own. */
   private void recordLimit(ResponseMetadata responseMetadata) {
     boolean certain = responseMetadata.signed() || responseMetadata.notExecuted();
@@ -273,8 +280,8 @@
     HttpResponse httpResponse = response.orElseThrow();
     ResponseMetadata responseMetadata =
         forwarder.headerTranslator().responseMetadata(httpResponse.headers());
-    int status = httpResponse.status().code();
-    if (responseMetadata.notExecuted() || status == 421) {
+    int status = status();
+    if (isRefusal(responseMetadata)) {
       end(AttemptOutcome.NOT_EXECUTED, "endpoint-refused");
     } else if (streaming) {
       endStream();
