Close connections after responses that do not name their request

Cause: a refusal has no request id, so that it is taken for the response to the request in flight, and the connection was kept after it. A repeated refusal cannot be told from a true one, so that a connection is not used again after a response that does not name its request; the same for refused calls of this host on the connections that callers' requests use. Ruled out: treating refusals without an id on used connections as unknown outcomes, which would fail nearly all refused bookings. Price: a new connection after each refusal.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
@@ -16,6 +16,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 /**
@@ -30,6 +31,8 @@
    */
   private static final int MAXIMUM_RESPONSE_BYTES = 8_388_608;
 
+  private static final Set<Integer> REFUSAL_STATUSES = Set.of(408, 421, 429, 503);
+
   private final Vertx vertx;
   private final EndpointPool pool;
   private final LongSupplier clock;
@@ -59,7 +62,8 @@
       Buffer body,
       long timeoutMillis) {
     ResponseTimeout timeout = ResponseTimeout.ofTotal(timeoutMillis, clock.getAsLong());
-    return call(method, address, target, headers, body, timeout);
+    // Connections to endpoints are shared with the requests of callers.
+    return call(method, address, target, headers, body, timeout, true);
   }
 
   /**
@@ -74,7 +78,7 @@
    */
   public Future<ControlResponse> read(String address, String target, long silenceMillis) {
     ResponseTimeout timeout = ResponseTimeout.ofSilence(silenceMillis, clock.getAsLong());
-    return call("GET", address, target, Map.of(), Buffer.buffer(), timeout);
+    return call("GET", address, target, Map.of(), Buffer.buffer(), timeout, false);
   }
 
   private Future<ControlResponse> call(
@@ -83,7 +87,8 @@
       String target,
       Map<String, String> headers,
       Buffer body,
-      ResponseTimeout timeout) {
+      ResponseTimeout timeout,
+      boolean sharedConnection) {
     HttpRequest request =
         new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target);
     request.headers().set(HttpHeaderNames.HOST, address);
@@ -101,7 +106,9 @@
               if (!promise.future().isComplete()) {
                 ByteBuf bytes = Unpooled.wrappedBuffer(body.getBytes());
                 connection.send(
-                    request, bytes, new ResponseCollector(description, promise, timeout));
+                    request,
+                    bytes,
+                    new ResponseCollector(description, promise, timeout, sharedConnection));
               }
             });
     return promise.future();
@@ -126,12 +133,17 @@
     private final String description;
     private final Promise<ControlResponse> promise;
     private final ResponseTimeout timeout;
+    private final boolean sharedConnection;
     private final Buffer body = Buffer.buffer();
     private int status;
     private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
 
     ResponseCollector(
-        String description, Promise<ControlResponse> promise, ResponseTimeout timeout) {
+        String description,
+        Promise<ControlResponse> promise,
+        ResponseTimeout timeout,
+        boolean sharedConnection) {
+      this.sharedConnection = sharedConnection;
       this.description = description;
       this.promise = promise;
       this.timeout = timeout;
@@ -142,6 +154,12 @@
       return true;
     }
 
+    @Override
+    public boolean isIdentified(HttpResponse response) {
+      // A refusal has no id: sent once more, it would be taken for that of a later request.
+      return !sharedConnection || !REFUSAL_STATUSES.contains(response.status().code());
+    }
+
     @Override
     public void onHead(HttpResponse response) {
       status = response.status().code();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -176,10 +176,18 @@
 
   @Override
   public boolean matches(HttpResponse httpResponse) {
-    Optional<String> echoedId =
-        forwarder.headerTranslator().responseMetadata(httpResponse.headers()).requestId();
     // A response without an id, such as a refusal, can only belong to this connection's request.
-    return echoedId.isEmpty() || echoedId.equals(request.requestId());
+    return echoedId(httpResponse).isEmpty() || isIdentified(httpResponse);
+  }
+
+  @Override
+  public boolean isIdentified(HttpResponse httpResponse) {
+    Optional<String> echoedId = echoedId(httpResponse);
+    return echoedId.isPresent() && echoedId.equals(request.requestId());
+  }
+
+  private Optional<String> echoedId(HttpResponse httpResponse) {
+    return forwarder.headerTranslator().responseMetadata(httpResponse.headers()).requestId();
   }
 
   @Override
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -41,6 +41,7 @@
   private boolean readingResponse;
   private boolean selfDelimited;
   private boolean keepAlive;
+  private boolean identified;
   private boolean written;
   private boolean open = true;
   private boolean reset;
@@ -159,6 +160,7 @@
             || response.status().code() == 204
             || response.status().code() == 304;
     keepAlive = HttpUtil.isKeepAlive(response);
+    identified = handler.orElseThrow().isIdentified(response);
     keepAliveSeconds = KeepAliveHeader.seconds(response.headers());
     handler.ifPresent(current -> current.onHead(response));
   }
@@ -171,7 +173,7 @@
     readingResponse = false;
     Optional<ResponseHandler> completedHandler = handler;
     handler = Optional.empty();
-    boolean reusable = selfDelimited && keepAlive && written && open;
+    boolean reusable = selfDelimited && keepAlive && identified && written && open;
     if (!reusable) {
       close();
     }
