Ignore ids of streams that are too long to be kept

Found by reading: callers choose the ids of their requests, and up to 16,384 of them were kept at the length of a whole header.

--- a/core/src/main/java/org/lentilhinge/resume/StreamOrigins.java
+++ b/core/src/main/java/org/lentilhinge/resume/StreamOrigins.java
@@ -15,6 +15,9 @@
 
   private static final int MAXIMUM_ORIGINS = 16_384;
 
+  /** The length of an id, which callers choose, above which it is not recorded. */
+  private static final int MAXIMUM_ID_LENGTH = 128;
+
   private final long retentionMillis;
 
   /** The origins in the order of their latest use. */
@@ -32,13 +35,17 @@
   }
 
   /**
-   * Records which version began a stream. The first version that is recorded for an id stays.
+   * Records which version began a stream. The first version that is recorded for an id stays. Ids
+   * of more than 128 characters are ignored.
    *
    * @param origin the origin
    * @param own whether this host forwards the stream
    * @param nowMillis the current time, in milliseconds
    */
   public void record(StreamOrigin origin, boolean own, long nowMillis) {
+    if (origin.requestId().length() > MAXIMUM_ID_LENGTH) {
+      return;
+    }
     Known former = origins.remove(origin.requestId());
     StreamOrigin kept = former == null ? origin : former.origin();
     boolean keptOwn = own || (former != null && former.own());
