--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -166,6 +166,12 @@
     new ProcessBuilder("kill", "-" + signal, String.valueOf(pid)).inheritIO().start().waitFor();
   }
 
+  /** Makes the open channel on which one host sends to another go silent for good. */
+  void silence(int from, int to) {
+    record("the open channel from host-" + from + " to host-" + to + " goes silent");
+    proxies.stream().filter(proxy -> proxy.host() == to).forEach(proxy -> proxy.silence(from));
+  }
+
   /** Cuts a host off from all other hosts, or heals the cut. */
   void setCutFromHosts(int host, boolean cut) {
     record((cut ? "cut: host-" : "healed: host-") + host + " and all other hosts");
--- a/review/standin/PeerProxy.java
+++ b/review/standin/PeerProxy.java
@@ -25,6 +25,7 @@
     private final Socket near;
     private final Socket far;
     private volatile int dialer;
+    private volatile boolean silent;
 
     Link(Socket near, Socket far) {
       this.near = near;
@@ -32,7 +33,7 @@
     }
 
     boolean isCut() {
-      return cutHosts.contains(host) || cutHosts.contains(dialer);
+      return silent || cutHosts.contains(host) || cutHosts.contains(dialer);
     }
 
     void close() {
@@ -69,6 +70,11 @@
     }
   }
 
+  /** Makes the open connections of one host go silent for good, without a reset; new ones work. */
+  void silence(int dialer) {
+    links.stream().filter(link -> link.dialer == dialer).forEach(link -> link.silent = true);
+  }
+
   private void accept() {
     while (!listener.isClosed()) {
       try {
