--- a/review/standin/EngineServer.java
+++ b/review/standin/EngineServer.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -54,6 +55,14 @@
   private volatile boolean crashed;
   private volatile boolean closed;
   private int cutStreams;
+  private volatile boolean seqRaised;
+  private volatile int answersToBreakOff;
+  private volatile int refusalsToRepeat;
+  private final AtomicInteger answers = new AtomicInteger();
+  private final AtomicInteger garbledAnswers = new AtomicInteger();
+
+  /** The copies of responses that are sent at the point where the next response is expected. */
+  private final Map<Socket, String> lateResponses = new ConcurrentHashMap<>();
 
   EngineServer(Deployment deployment, String id, String zone) throws IOException {
     this(deployment, id, zone, 0, 0);
@@ -105,6 +114,25 @@
     return "resident " + resident.keySet() + ", coming " + coming.keySet();
   }
 
+  /**
+   * Makes the server hand out wrong bytes.
+   *
+   * @param broken the number of answers to accepted orders that are broken off
+   * @param repeated the number of refusals of orders that are sent once more, late
+   */
+  void garble(int broken, int repeated) {
+    answersToBreakOff = broken;
+    refusalsToRepeat = repeated;
+  }
+
+  int answers() {
+    return answers.get();
+  }
+
+  int garbledAnswers() {
+    return garbledAnswers.get();
+  }
+
   private String address() {
     return "127.0.3.1:" + listener.getLocalPort();
   }
@@ -180,7 +208,15 @@
       BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
       OutputStream out = socket.getOutputStream();
       for (HttpMessage request = Http.read(in, false); request != null; request = Http.read(in, false)) {
-        answer(request, out);
+        String late = lateResponses.remove(socket);
+        if (late != null) {
+          garbledAnswers.incrementAndGet();
+          deployment.record("garble: " + id + " repeats a former response, the next request is " + request.first());
+          out.write(late.getBytes(StandardCharsets.UTF_8));
+          out.flush();
+        }
+        answer(socket, request, out);
+        answers.incrementAndGet();
       }
     } catch (IOException exception) {
       // The caller has closed the connection, or this server has crashed.
@@ -188,7 +224,7 @@
     connections.remove(socket);
   }
 
-  private void answer(HttpMessage request, OutputStream out) throws IOException {
+  private void answer(Socket socket, HttpMessage request, OutputStream out) throws IOException {
     String expectedId = request.header("Lentilhinge-Expect-Instance");
     if (!expectedId.isEmpty() && !expectedId.equals(id)) {
       Http.write(out, "HTTP/1.1 421 Misdirected Request", Map.of("Lentilhinge-Instance-Id", id), "");
@@ -199,7 +235,7 @@
       if (crashed) {
         throw new IOException("crashed");
       }
-      Http.write(out, "HTTP/1.1 " + status + " Order", Map.of(), "");
+      answerOrder(socket, status, out);
     } else if (request.target().equals("/health")) {
       Http.write(out, "HTTP/1.1 200 OK", Map.of("Lentilhinge-Instance-Id", id), "");
     } else {
@@ -207,6 +243,22 @@
     }
   }
 
+  private void answerOrder(Socket socket, int status, OutputStream out) throws IOException {
+    if (status == 202 && seqRaised && answersToBreakOff > 0) {
+      answersToBreakOff--;
+      garbledAnswers.incrementAndGet();
+      deployment.record("garble: " + id + " breaks off its answer to an order");
+      out.write("HTTP/1.1 2".getBytes(StandardCharsets.UTF_8));
+      out.flush();
+      throw new IOException("broken off");
+    }
+    Http.write(out, "HTTP/1.1 " + status + " Order", Map.of(), "");
+    if (status == 409 && refusalsToRepeat > 0) {
+      refusalsToRepeat--;
+      lateResponses.put(socket, "HTTP/1.1 409 Order\r\nContent-Length: 0\r\n\r\n");
+    }
+  }
+
   private static String text(String json, String name) {
     Matcher matcher = Pattern.compile("\"" + name + "\"\\s*:\\s*\"?([^\",}]*)").matcher(json);
     return matcher.find() ? matcher.group(1) : "";
@@ -223,10 +275,12 @@
     long expected = number(json, "expected");
     long version = Math.max(0, number(json, "version"));
     long seqBefore = seq;
+    seqRaised = false;
     int status = adapter.isEmpty() ? 200 : op.equals("load") ? load(adapter, (int) version, expected) : unload(adapter, expected);
     Order order =
         new Order(Deployment.now(), op, adapter, text(json, "holder"), number(json, "fence"), expected, status);
     orders.add(order);
+    seqRaised = seq > seqBefore;
     deployment.record(
         "order at " + id + ": " + op + " " + adapter + " from " + order.holder() + ", fence " + order.fence() + ", expected "
             + expected + ", seq " + seqBefore + ", answered " + (crashed ? "not at all (crash)" : status) + "; " + places());
