--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,6 +22,9 @@
 final class Deployment implements AutoCloseable {
 
   static final long STARTED_NANOS = System.nanoTime();
+  private static final SecureRandom RANDOM = new SecureRandom();
+  private static final int LOWEST_PORT = 12_000;
+  private static final int PORTS = 18_000;
 
   final Path folder;
   final Path root;
@@ -52,16 +56,17 @@
     Runtime.getRuntime().addShutdownHook(killer);
   }
 
-  /** Finds a port that is free on all loopback addresses that hosts may use. */
+  /**
+   * Finds a port that is free on all loopback addresses that hosts may use, below the ports that the
+   * system gives to connections.
+   */
   private static int freePort() throws IOException {
     for (int attempt = 0; attempt < 100; attempt++) {
-      try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getByName("127.0.1.1"))) {
-        int port = any.getLocalPort();
+      int port = LOWEST_PORT + RANDOM.nextInt(PORTS);
+      try {
         for (int host = 1; host <= 4; host++) {
-          if (host > 1) {
-            new ServerSocket(port, 1, InetAddress.getByName("127.0.1." + host)).close();
-          }
-          new ServerSocket(port, 1, InetAddress.getByName("127.0.2." + host)).close();
+          new ServerSocket(port, 1, InetAddress.getByName(ip(host))).close();
+          new ServerSocket(port, 1, InetAddress.getByName(name(host))).close();
         }
         return port;
       } catch (IOException exception) {
