--- a/review/2/entry.sh
+++ b/review/2/entry.sh
@@ -3,4 +3,6 @@
 # record.txt into the folder entry/. Exit code: 1 the rule was broken, 0 it held, 2 it could not run.
 cd "$(dirname "$0")"
 mkdir -p entry
+TROUBLE="${TROUBLE:-1}"
+export TROUBLE
 exec java -Xmx64m -cp ../target/standin EmptyEngine entry ../..
