Let an idle owner order only in the majority and after a new report

Cause: an ownership had no end in time. Nothing was asked of the engine or of other hosts between the last order and the next one; the engine answers an order under way with 202 whoever repeats it, and the former owner counted that answer as its own.

Half a lease after its takeover or last accepted order an owner now orders only in contact with the majority of the hosts and after a new report. Outside the majority it relinquishes, and no host takes over. A host counts its wait from the last claim that it heard, unless the claimant left or was restarted. Why this works: at most one part of a partition is the majority, and an owner notices that it is outside before a host inside may take over (HostMajorityTest, 2 to 95 hosts).

OwnedEngineRunnerTest: three of the four new cases fail with the conditions taken out of the runner. Ruled out: a takeover that comes too early.

--- a/core/src/main/java/org/lentilhinge/overlay/FailureDetector.java
+++ b/core/src/main/java/org/lentilhinge/overlay/FailureDetector.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -24,6 +26,7 @@
   /** The time for a refutation to arrive by gossip, in milliseconds. */
   private static final long REFUTATION_MILLIS = 600;
 
+  private final Map<String, Long> heardAtMillis = new HashMap<>();
   private final Map<String, Long> watchedSinceMillis = new HashMap<>();
   private final Map<String, Long> probedAtMillis = new TreeMap<>();
   private final Map<String, Long> suspectedAtMillis = new TreeMap<>();
@@ -38,6 +41,7 @@
 
   /** Records that a host sent a message; returns whether it was suspected. */
   boolean recordContact(String host, long nowMillis) {
+    heardAtMillis.put(host, nowMillis);
     probedAtMillis.remove(host);
     watchedSinceMillis.computeIfPresent(host, (name, since) -> nowMillis);
     return clearSuspicion(host);
@@ -88,6 +92,22 @@
     return hosts;
   }
 
+  /**
+   * Returns the hosts that sent a message themselves within the time in which a silent host becomes
+   * suspected.
+   */
+  Set<String> recentlyHeard(long nowMillis) {
+    long sinceMillis = nowMillis - SILENCE_MILLIS - PROBE_TIMEOUT_MILLIS;
+    Set<String> hosts = new HashSet<>();
+    heardAtMillis.forEach(
+        (host, heardAt) -> {
+          if (heardAt >= sinceMillis) {
+            hosts.add(host);
+          }
+        });
+    return hosts;
+  }
+
   /** After a pause of this process, the silence of the others counts from now. */
   void excuseSilence(long nowMillis) {
     watchedSinceMillis.replaceAll((host, since) -> nowMillis);
@@ -96,6 +116,7 @@
   }
 
   void remove(String host) {
+    heardAtMillis.remove(host);
     watchedSinceMillis.remove(host);
     probedAtMillis.remove(host);
     suspectedAtMillis.remove(host);
--- a/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
@@ -66,6 +66,7 @@
   private long nextContactAtMillis;
   private long nextRandomProbeAtMillis;
   private long lastTickAtMillis = Long.MIN_VALUE;
+  private final HostMajority majority;
 
   /**
    * Creates the overlay of a host that has just started.
@@ -79,6 +80,7 @@
     this.seeds = new LinkedHashSet<>(seeds);
     this.random = random;
     addSeeds(seeds);
+    majority = new HostMajority(self.host(), this.seeds, view, detector);
   }
 
   /**
@@ -285,6 +287,7 @@
       nextRandomProbeAtMillis = nowMillis + RANDOM_PROBE_INTERVAL_MILLIS;
       nextToProbe().ifPresent(host -> probe(host, nowMillis, commands));
     }
+    majority.update(neighbors, disconnected, nowMillis);
     sendGossip(commands);
     return commands;
   }
@@ -428,6 +431,17 @@
     return !disconnected.contains(host);
   }
 
+  /**
+   * Returns the time for which this host has not been in contact with the majority of the hosts
+   * that run or that fell silent recently.
+   *
+   * @param nowMillis the monotonic time, in milliseconds
+   * @return the time, in milliseconds; 0 if the host is in contact with the majority
+   */
+  public long millisWithoutMajority(long nowMillis) {
+    return majority.millisWithout(nowMillis);
+  }
+
   /**
    * Returns a number that changes with the live hosts and with those that are leaving.
    *
--- a/core/src/main/java/org/lentilhinge/overlay/HostView.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostView.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
 import org.lentilhinge.lease.RendezvousHash;
 
 /** The records of the live hosts, and the last versions of those that were lost. */
@@ -25,7 +27,7 @@
   private final Map<String, LostHost> lost = new HashMap<>();
   private long digest;
 
-  private record LostHost(long version, long lostAtMillis) {}
+  private record LostHost(long version, long lostAtMillis, boolean leaving) {}
 
   /** Adds or replaces a record; returns the former live record. */
   Optional<HostRecord> put(HostRecord newRecord) {
@@ -39,7 +41,7 @@
   void lose(HostRecord host, long nowMillis) {
     live.remove(host.host());
     digest ^= digestOf(host);
-    lost.put(host.host(), new LostHost(host.version(), nowMillis));
+    lost.put(host.host(), new LostHost(host.version(), nowMillis, host.leaving()));
   }
 
   void forgetLost(long nowMillis) {
@@ -50,6 +52,11 @@
     return Optional.ofNullable(live.get(host));
   }
 
+  /** Indicates whether a host is neither live nor lost. */
+  boolean isUnknown(String host) {
+    return !live.containsKey(host) && !lost.containsKey(host);
+  }
+
   /** Returns the version at which a host was lost, or empty if it is not among the lost hosts. */
   OptionalLong lostVersion(String host) {
     LostHost entry = lost.get(host);
@@ -64,6 +71,18 @@
     return new ArrayList<>(lost.keySet());
   }
 
+  /** Returns the hosts that were lost after a time and had not announced their shutdown. */
+  Set<String> lostSince(long sinceMillis) {
+    Set<String> hosts = new TreeSet<>();
+    lost.forEach(
+        (host, entry) -> {
+          if (!entry.leaving() && entry.lostAtMillis() >= sinceMillis) {
+            hosts.add(host);
+          }
+        });
+    return hosts;
+  }
+
   /** Returns the digest of the live hosts together with a further record. */
   long digestWith(HostRecord self) {
     return digest ^ digestOf(self);
--- a/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
@@ -6,9 +6,11 @@
  * Decides whether this host owns one incarnation of an engine, that is, may send orders to it. The
  * engine is the arbiter: each order that it accepts increments its order count, and each order
  * states the expected count. A host may take over an engine whose count has not changed for longer
- * than the lease. An owner whose count changed without an order of its own relinquishes the engine
- * and observes it again. A fencing token consists of the store's revision at the time of the
- * takeover, as a number that never decreases, the order count and the host's number.
+ * than the lease, if it is in contact with the majority of the hosts. An owner whose count changed
+ * without an order of its own relinquishes the engine and observes it again; so does one that is
+ * idle and has lost contact with the majority. A fencing token consists of the store's revision at
+ * the time of the takeover, as a number that never decreases, the order count and the host's
+ * number.
  */
 public final class EngineOwnership {
 
@@ -32,6 +34,9 @@
   private long lastReadAtMillis;
   private int unconfirmedOrders;
 
+  /** The time of the takeover or of the last accepted order since, in milliseconds. */
+  private long activeAtMillis;
+
   /** The counted orders that the engine may not have counted, as their result already held. */
   private int uncertainOrders;
 
@@ -157,6 +162,7 @@
     if (!isOwner() && fresh && revision > 0 && isTakeoverDue(rank, nowMillis)) {
       fencingToken = OptionalLong.of(newFencingToken(revision));
       takeovers++;
+      activeAtMillis = nowMillis;
       unconfirmedOrders = 0;
       uncertainOrders = 0;
     }
@@ -206,6 +212,28 @@
     return fencingToken;
   }
 
+  /**
+   * Returns whether no other host can have taken over since the takeover or the last accepted order
+   * of this host, whatever happened to the network. An owner that has been idle for longer may send
+   * an order only while it is in contact with the majority of the hosts, and after a new report.
+   *
+   * @param nowMillis the current time, in milliseconds
+   * @return whether this host owns the engine and was active in the last half of the lease
+   */
+  public boolean isActive(long nowMillis) {
+    return isOwner() && nowMillis - activeAtMillis <= leaseMillis / 2;
+  }
+
+  /**
+   * Returns whether the order count was compared with a report of the engine that is still new.
+   *
+   * @param nowMillis the current time, in milliseconds
+   * @return whether the last report was read within the maximum age of the data in a report
+   */
+  public boolean isCountConfirmed(long nowMillis) {
+    return nowMillis - lastReadAtMillis <= MAXIMUM_REPORT_AGE_MILLIS;
+  }
+
   /**
    * Returns the number of the present ownership. Unlike the fencing token it differs from that of
    * each former ownership of this host.
@@ -233,6 +261,7 @@
   public void recordAcceptedOrder(long nowMillis) {
     acceptedOrders = OptionalLong.of(acceptedOrders.orElse(0) + 1);
     unchangedSinceMillis = nowMillis;
+    activeAtMillis = nowMillis;
   }
 
   /**
--- a/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import org.lentilhinge.fleet.FleetEndpoint;
@@ -49,12 +50,16 @@
 
   private final Map<String, ReceivedStatus> statuses = new HashMap<>();
   private final Map<String, UnreportedRequests> unreported = new HashMap<>();
+  private final Map<String, Claim> claims = new HashMap<>();
 
   /** Creates a selector without engine statuses. */
   public EngineSelector() {}
 
   private record ReceivedStatus(String host, EngineStatus status, long receivedAtMillis) {}
 
+  /** The latest time at which a host stated that it owns an engine. */
+  private record Claim(String host, long receivedAtMillis) {}
+
   /** This host's permit requests to an engine that its latest status does not include yet. */
   private static final class UnreportedRequests {
     private double prefillMillis;
@@ -70,6 +75,7 @@
    * @param nowMillis the current time, in milliseconds
    */
   public void updateStatus(String host, EngineStatus status, long nowMillis) {
+    recordClaim(host, status, nowMillis);
     ReceivedStatus former = statuses.get(status.incarnation());
     boolean authoritative = former == null || former.host().equals(host) || status.owned();
     if (authoritative || nowMillis - former.receivedAtMillis() > MAXIMUM_STATUS_AGE_MILLIS) {
@@ -78,6 +84,40 @@
     }
   }
 
+  private void recordClaim(String host, EngineStatus status, long nowMillis) {
+    if (status.owned()) {
+      claims.put(status.incarnation(), new Claim(host, nowMillis));
+    } else {
+      claims.computeIfPresent(
+          status.incarnation(), (name, claim) -> claim.host().equals(host) ? null : claim);
+    }
+  }
+
+  /**
+   * Returns when another host last stated that it owns an engine. The claim of a host that fell
+   * silent remains, because the host may still act on it.
+   *
+   * @param incarnation the engine's incarnation
+   * @param self the name of this host
+   * @return the time at which the latest status arrived, in milliseconds; empty if no other host
+   *     claims the ownership
+   */
+  public OptionalLong claimedElsewhereAtMillis(String incarnation, String self) {
+    Claim claim = claims.get(incarnation);
+    return claim == null || claim.host().equals(self)
+        ? OptionalLong.empty()
+        : OptionalLong.of(claim.receivedAtMillis());
+  }
+
+  /**
+   * Removes the claims of a host that sends no further orders.
+   *
+   * @param host the host that is shutting down or whose process has ended
+   */
+  public void removeClaims(String host) {
+    claims.values().removeIf(claim -> claim.host().equals(host));
+  }
+
   /**
    * Counts a permit request of this host until the next engine status includes it.
    *
@@ -109,6 +149,7 @@
   public void removeEngine(String incarnation) {
     statuses.remove(incarnation);
     unreported.remove(incarnation);
+    claims.remove(incarnation);
   }
 
   /**
--- /dev/null
+++ b/core/src/test/java/org/lentilhinge/overlay/HostMajorityTest.java
@@ -0,0 +1,140 @@
+package org.lentilhinge.overlay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that at most one part of a partitioned network takes itself for the majority. */
+public class HostMajorityTest {
+
+  private static final long START_MILLIS = 8_000;
+
+  /**
+   * The earliest takeover after a partition: the wait after a claim of the owner (3.7 s), less the
+   * interval of the claims (1 s) and their way over a relay (0.2 s).
+   */
+  private static final long EARLIEST_TAKEOVER_MILLIS = 2_500;
+
+  /** The time for which silent hosts count, with the time until they are lost. */
+  private static final long SILENT_HOST_MILLIS = 33_000;
+
+  private static final int SEEDS = 200;
+
+  @DataProvider
+  public static Object[][] sizes() {
+    return new Object[][] {{2}, {3}, {8}, {24}, {95}};
+  }
+
+  private static boolean isInMajority(OverlaySimulation simulation, String host) {
+    return simulation.overlay(host).millisWithoutMajority(simulation.now()) == 0;
+  }
+
+  @Test
+  public void firstHostDecidesBetweenHalves() {
+    assertTrue(HostMajority.isMajority(Set.of("a", "d"), Set.of("b", "c")));
+    assertFalse(HostMajority.isMajority(Set.of("b", "c"), Set.of("a", "d")));
+    assertTrue(HostMajority.isMajority(Set.of("b", "c"), Set.of("a")));
+    assertTrue(HostMajority.isMajority(Set.of("b"), Set.of()));
+  }
+
+  @Test(dataProvider = "sizes")
+  public void allHostsAreInMajorityWithoutPartition(int size) {
+    OverlaySimulation simulation = new OverlaySimulation(size, size);
+    simulation.run(START_MILLIS);
+    for (String host : simulation.names()) {
+      assertTrue(isInMajority(simulation, host), host);
+    }
+  }
+
+  // An owner that was cut off from all hosts went on ordering an engine beside its next owner.
+  @Test(dataProvider = "sizes")
+  public void hostThatIsCutOffLosesMajorityBeforeTakeover(int size) {
+    OverlaySimulation simulation = new OverlaySimulation(size, size);
+    simulation.run(START_MILLIS);
+    String isolated = simulation.names().get(size - 1);
+    simulation.cut(Set.of(isolated));
+    simulation.run(EARLIEST_TAKEOVER_MILLIS);
+    for (long waited = 0; waited < 20_000; waited += 50, simulation.run(50)) {
+      assertFalse(isInMajority(simulation, isolated), "after " + waited + " ms");
+    }
+    simulation.heal();
+    simulation.run(START_MILLIS);
+    assertTrue(isInMajority(simulation, isolated));
+  }
+
+  // An engine that joined while hosts were cut off from each other was ordered by both parts.
+  @Test
+  public void onePartAtMostIsMajority() {
+    int majorities = 0;
+    for (int seed = 0; seed < SEEDS; seed++) {
+      Random random = new Random(seed);
+      int size = 2 + random.nextInt(seed % 20 == 0 ? 94 : 12);
+      OverlaySimulation simulation = new OverlaySimulation(seed, size);
+      simulation.run(START_MILLIS);
+      List<String> names = new ArrayList<>(simulation.names());
+      Collections.shuffle(names, random);
+      Set<String> part = new HashSet<>(names.subList(0, random.nextInt(size)));
+      simulation.cut(part);
+      simulation.run(EARLIEST_TAKEOVER_MILLIS);
+      for (long waited = 0; waited < 8_000; waited += 200, simulation.run(200)) {
+        Set<Boolean> parts = new HashSet<>();
+        for (String host : names) {
+          if (isInMajority(simulation, host)) {
+            parts.add(part.contains(host));
+          }
+        }
+        assertTrue(parts.size() <= 1, "seed " + seed + " after " + waited + " ms");
+        majorities += parts.size();
+      }
+    }
+    // A majority that is never found would stop all takeovers.
+    assertTrue(majorities > SEEDS * 38, "too few majorities: " + majorities);
+  }
+
+  @Test
+  public void hostThatRestartsBehindPartitionIsNotMajority() {
+    OverlaySimulation simulation = new OverlaySimulation(3, 8);
+    simulation.run(START_MILLIS);
+    String host = simulation.names().get(7);
+    simulation.cut(Set.of(host));
+    simulation.kill(host);
+    simulation.start(host, 0);
+    simulation.run(START_MILLIS);
+    assertFalse(isInMajority(simulation, host));
+  }
+
+  @Test
+  public void lastHostIsMajorityOnceTheOthersAreSilentForLong() {
+    OverlaySimulation simulation = new OverlaySimulation(4, 8);
+    simulation.run(START_MILLIS);
+    simulation.names().stream().skip(1).forEach(simulation::kill);
+    String last = simulation.names().get(0);
+    simulation.run(START_MILLIS);
+    assertFalse(isInMajority(simulation, last));
+    simulation.run(SILENT_HOST_MILLIS - START_MILLIS);
+    assertTrue(isInMajority(simulation, last));
+  }
+
+  @Test
+  public void hostsThatLeaveDoNotCount() {
+    OverlaySimulation simulation = new OverlaySimulation(5, 8);
+    simulation.run(START_MILLIS);
+    simulation.names().stream().skip(2).forEach(simulation::leave);
+    simulation.run(1_000);
+    simulation.names().stream().skip(2).forEach(simulation::kill);
+    for (long waited = 0; waited < 10_000; waited += 50) {
+      simulation.run(50);
+      assertEquals(
+          isInMajority(simulation, simulation.names().get(1)), true, "after " + waited + " ms");
+    }
+  }
+}
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -139,9 +139,6 @@
     ControlHttpClient client = new ControlHttpClient(vertx, pool, clocks.monotonicMillis());
     peers = createPeerNetwork(scheduler, startedAtMillis, random);
     PeerSender sender = this::send;
-    overlay =
-        new OverlayRunner(
-            context, state.hosts(), peers::updatePeers, sender, new OverlayListener());
     statuses = new StatusExchange(context, state, new StatusRelay(self), sender);
     permits =
         new PermitClient(
@@ -152,6 +149,13 @@
         new EndpointDepartureRunner(context, state, new EndpointDepartures(random), broadcast);
     EngineControl control = platform.control(client, departures::recordResponse);
     schedulers = new EngineSchedulers(context, control, sender, statuses, state, limits);
+    overlay =
+        new OverlayRunner(
+            context,
+            state.hosts(),
+            peers::updatePeers,
+            sender,
+            new OtherHostsListener(state.engineSelector(), schedulers, permits));
     PublishedStore store =
         platform.store(client, settings.storeAddress(), new RejectedEntryLog(context)::record);
     ZoneReader zoneReader = new ZoneReader(context, state, sender);
@@ -459,30 +463,6 @@
     }
   }
 
-  /** Ends what concerns hosts that are leaving or do not respond. */
-  private final class OverlayListener implements OverlayRunner.Listener {
-
-    @Override
-    public void onLeaving(String host) {
-      // The engines of the leaving host need a new owner. The leaving host still serves earlier
-      // permit requests.
-      state.engineSelector().removeHost(host);
-    }
-
-    @Override
-    public void onUnresponsive(String host) {
-      // Its engine statuses stay: they keep this host from a takeover while the owner may go on.
-      permits.removeHost(host);
-    }
-
-    @Override
-    public void onEnded(String host) {
-      schedulers.removeHost(host);
-      permits.removeHost(host);
-      state.engineSelector().removeHost(host);
-    }
-  }
-
   /**
    * Returns the counters that a status page shows.
    *
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -197,6 +197,14 @@
         : 0;
   }
 
+  /**
+   * Returns the time for which this host has not been in contact with the majority of the hosts, in
+   * milliseconds; 0 if it is.
+   */
+  long millisWithoutMajority() {
+    return hosts.millisWithoutMajority(context.now());
+  }
+
   boolean isLeaving() {
     return leaving;
   }
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OtherHostsListener.java
@@ -0,0 +1,44 @@
+package org.lentilhinge.runtime.forward;
+
+import org.lentilhinge.permit.EngineSelector;
+
+/** Ends what concerns hosts that are leaving or do not respond. */
+final class OtherHostsListener implements OverlayRunner.Listener {
+
+  private final EngineSelector engineSelector;
+  private final EngineSchedulers schedulers;
+  private final PermitClient permits;
+
+  OtherHostsListener(
+      EngineSelector engineSelector, EngineSchedulers schedulers, PermitClient permits) {
+    this.engineSelector = engineSelector;
+    this.schedulers = schedulers;
+    this.permits = permits;
+  }
+
+  @Override
+  public void onLeaving(String host) {
+    // The engines of the leaving host need a new owner. The leaving host still serves earlier
+    // permit requests.
+    engineSelector.removeHost(host);
+    engineSelector.removeClaims(host);
+  }
+
+  @Override
+  public void onProcessEnded(String host) {
+    engineSelector.removeClaims(host);
+  }
+
+  @Override
+  public void onUnresponsive(String host) {
+    // Its engine statuses stay: they keep this host from a takeover while the owner may go on.
+    permits.removeHost(host);
+  }
+
+  @Override
+  public void onEnded(String host) {
+    schedulers.removeHost(host);
+    permits.removeHost(host);
+    engineSelector.removeHost(host);
+  }
+}
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
@@ -30,6 +30,9 @@
     /** The engines of a host need another owner, but the host still answers. */
     void onLeaving(String host);
 
+    /** The former process of a host has ended: it sends no further orders to engines. */
+    void onProcessEnded(String host);
+
     /**
      * A host may have failed: requests that wait for its answers should not wait longer. The host
      * may as well still own its engines.
@@ -110,6 +113,7 @@
         updateLinkedHosts();
       } else if (command instanceof OverlayCommand.Restarted restarted) {
         log("host-restarted", restarted.host());
+        listener.onProcessEnded(restarted.host().host());
         listener.onEnded(restarted.host().host());
       } else if (command instanceof OverlayCommand.Leaving leaving) {
         log("host-leaving", leaving.host());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -63,6 +63,7 @@
   private final EngineScheduler scheduler;
   private final EngineOwnership ownership;
   private final OrderCounts counts;
+  private final OwnershipRules ownershipRules;
   private final OwnedEngineLog log;
   private final OwnedOrders orders = new OwnedOrders();
   private boolean orderInFlight;
@@ -99,6 +100,7 @@
     this.ownership =
         new EngineOwnership(
             context.settings().bounds().leaseMillis(), RendezvousHash.hash(context.host()));
+    ownershipRules = new OwnershipRules(context, state, engine, ownership, counts);
     log = new OwnedEngineLog(context.log(), engine, ownership);
     createdAtMillis = context.now();
     lastTickAtMillis = createdAtMillis;
@@ -191,14 +193,19 @@
       secondReadStarted = true;
       readReport("confirm");
     }
+    if (ownershipRules.isToBeRelinquished()) {
+      relinquish("no-majority");
+    }
     int rank = state.ownerRanking(engine).indexOf(context.host());
     if (!ownership.isOwner() && rank >= 0) {
-      long remainingMillis = ownership.remainingTakeoverMillis(rank, context.now());
+      boolean inMajority = ownershipRules.isInMajority();
+      long remainingMillis = ownershipRules.remainingTakeoverMillis(rank);
       scheduler.setCanOrderIn(remainingMillis);
-      if (remainingMillis <= REVISION_LEAD_MILLIS) {
+      if (inMajority && remainingMillis <= REVISION_LEAD_MILLIS) {
         state.requestFreshRevision();
       }
-      if (ownership.isTakeoverDue(rank, context.now())
+      if (inMajority
+          && ownership.isTakeoverDue(rank, context.now())
           && context.now() - lastReadAtMillis >= READ_INTERVAL_MILLIS) {
         readReport("take");
       }
@@ -242,14 +249,13 @@
     }
     ownership.recordOrderCount(report.acceptedOrders(), now);
     counts.recordCount(engine.incarnation(), report.acceptedOrders(), now);
-    if (!state.engineSelector().isOwnedElsewhere(engine.incarnation(), context.host(), now)) {
-      counts
-          .unchangedSince(engine.incarnation(), report.acceptedOrders())
-          .ifPresent(ownership::recordUnchangedSince);
-    }
+    ownershipRules.useCountsOfOtherHosts(report.acceptedOrders());
     int rank = state.ownerRanking(engine).indexOf(context.host());
     boolean acquired =
-        !wasOwner && rank >= 0 && ownership.tryTakeOver(rank, state.freshRevision(), now);
+        !wasOwner
+            && rank >= 0
+            && ownershipRules.isInMajority()
+            && ownership.tryTakeOver(rank, state.freshRevision(), now);
     if (!wasOwner || schedulerOutdated) {
       schedulerOutdated = false;
       scheduler.updateFromReport(
@@ -261,7 +267,7 @@
     }
     scheduler.setCanOrder(ownership.isOwner());
     if (rank >= 0) {
-      scheduler.setCanOrderIn(ownership.remainingTakeoverMillis(rank, now));
+      scheduler.setCanOrderIn(ownershipRules.remainingTakeoverMillis(rank));
     }
     if (acquired || reason.equals(FIRST_READ)) {
       publishStatus();
@@ -330,6 +336,15 @@
     if (orderInFlight || closed || leaving || paused) {
       return;
     }
+    if (!ownership.isActive(now) && orders.hasNext(ownership.ownershipNumber())) {
+      if (!ownershipRules.isInMajority() || scheduler.isUnreachable(now)) {
+        return;
+      }
+      if (!ownership.isCountConfirmed(now)) {
+        readReport("idle-owner");
+        return;
+      }
+    }
     orders.takeNext(ownership.ownershipNumber(), now).ifPresent(this::send);
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedOrders.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedOrders.java
@@ -31,6 +31,11 @@
     return next;
   }
 
+  /** Indicates whether an order of the current ownership waits to be sent. */
+  boolean hasNext(OptionalLong ownershipNumber) {
+    return queued.stream().anyMatch(order -> isValid(order, ownershipNumber));
+  }
+
   static boolean isValid(OwnedOrder order, OptionalLong ownershipNumber) {
     return ownershipNumber.equals(OptionalLong.of(order.ownershipNumber()));
   }
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
@@ -0,0 +1,81 @@
+package org.lentilhinge.runtime.forward;
+
+import java.util.OptionalLong;
+import org.lentilhinge.fleet.FleetEndpoint;
+import org.lentilhinge.permit.EngineOwnership;
+import org.lentilhinge.permit.EngineSelector;
+import org.lentilhinge.permit.OrderCounts;
+
+/** What the other hosts mean for the ownership of one incarnation of an engine. */
+final class OwnershipRules {
+
+  /**
+   * The time without contact to the majority of the hosts after which an idle owner relinquishes
+   * the engine, in milliseconds. Together with the detection of silent hosts it is shorter than the
+   * time after which a host in the majority may take over.
+   */
+  private static final long MAXIMUM_ISOLATION_MILLIS = 600;
+
+  /**
+   * The addition to the wait for a takeover after another host's claim, in milliseconds. An idle
+   * owner states its ownership once a second and may be cut off just before the next claim.
+   */
+  private static final long CLAIM_MARGIN_MILLIS = 300;
+
+  /** The earliest retry for requests that need a host in the majority, in milliseconds. */
+  private static final long ISOLATION_RETRY_MILLIS = 1_000;
+
+  private final HostContext context;
+  private final HostState state;
+  private final FleetEndpoint engine;
+  private final EngineOwnership ownership;
+  private final OrderCounts counts;
+
+  OwnershipRules(
+      HostContext context,
+      HostState state,
+      FleetEndpoint engine,
+      EngineOwnership ownership,
+      OrderCounts counts) {
+    this.context = context;
+    this.state = state;
+    this.engine = engine;
+    this.ownership = ownership;
+    this.counts = counts;
+  }
+
+  /** Indicates whether this host may take over engines and use those that it owns when idle. */
+  boolean isInMajority() {
+    return state.millisWithoutMajority() == 0;
+  }
+
+  /** Indicates whether hosts in the majority may be about to take over this idle engine. */
+  boolean isToBeRelinquished() {
+    return ownership.isOwner()
+        && !ownership.isActive(context.now())
+        && state.millisWithoutMajority() > MAXIMUM_ISOLATION_MILLIS;
+  }
+
+  /** Returns the time until the earliest possible takeover by this host, in milliseconds. */
+  long remainingTakeoverMillis(int rank) {
+    long remainingMillis = ownership.remainingTakeoverMillis(rank, context.now());
+    return isInMajority() ? remainingMillis : Math.max(remainingMillis, ISOLATION_RETRY_MILLIS);
+  }
+
+  /**
+   * Counts the wait for a takeover from the first reading of the count by any host, but not from a
+   * time before the last claim of another host, which may still be about to send an order.
+   */
+  void useCountsOfOtherHosts(long acceptedOrders) {
+    EngineSelector selector = state.engineSelector();
+    if (!selector.isOwnedElsewhere(engine.incarnation(), context.host(), context.now())) {
+      OptionalLong claimedAt =
+          selector.claimedElsewhereAtMillis(engine.incarnation(), context.host());
+      long earliestMillis =
+          claimedAt.isPresent() ? claimedAt.getAsLong() + CLAIM_MARGIN_MILLIS : Long.MIN_VALUE;
+      counts
+          .unchangedSince(engine.incarnation(), acceptedOrders)
+          .ifPresent(since -> ownership.recordUnchangedSince(Math.max(since, earliestMillis)));
+    }
+  }
+}
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OverlayRunnerTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OverlayRunnerTest.java
@@ -78,6 +78,11 @@
       conclusions.add("leaving " + host);
     }
 
+    @Override
+    public void onProcessEnded(String host) {
+      conclusions.add("process ended " + host);
+    }
+
     @Override
     public void onUnresponsive(String host) {
       conclusions.add("unresponsive " + host);
@@ -122,6 +127,6 @@
   public void restartedHostHasEnded() {
     Fixture fixture = new Fixture();
     fixture.receiveHeartbeat(2);
-    assertEquals(fixture.conclusions, List.of("ended " + OTHER));
+    assertEquals(fixture.conclusions, List.of("process ended " + OTHER, "ended " + OTHER));
   }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineRunnerTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineRunnerTest.java
@@ -22,6 +22,8 @@
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.identity.StoreRevision;
 import org.lentilhinge.limit.RequestRate;
+import org.lentilhinge.overlay.HostHeartbeat;
+import org.lentilhinge.overlay.HostOverlay;
 import org.lentilhinge.overlay.HostRecord;
 import org.lentilhinge.permit.AdapterOrder;
 import org.lentilhinge.permit.EngineScheduler;
@@ -99,8 +101,8 @@
             now::get,
             new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
             new MetricRegistry());
-    private final HostState state =
-        new HostState(context, ForwardFixture.overlay(ForwardFixture.settings()));
+    private final HostOverlay overlay = ForwardFixture.overlay(ForwardFixture.settings());
+    private final HostState state = new HostState(context, overlay);
 
     Fixture() {
       state.recordRevision(new StoreRevision(0, 5));
@@ -131,6 +133,22 @@
       }
     }
 
+    /** Has other hosts join that then fall silent, so that this host is in the minority. */
+    private void loseOtherHosts() {
+      overlay.onTick(now.get());
+      for (String host : List.of("10.0.0.2", "10.0.0.3")) {
+        HostRecord other = new HostRecord(host, "a", "north", 1, 1, false);
+        overlay.onMessage(host, new HostHeartbeat(other, 0, true), now.get());
+      }
+      overlay.onTick(now.get());
+      assertEquals(overlay.millisWithoutMajority(now.get()), 0);
+      for (int step = 0; step < 60; step++) {
+        advance(50);
+        overlay.onTick(now.get());
+      }
+      assertTrue(overlay.millisWithoutMajority(now.get()) > 0);
+    }
+
     private void advance(long millis) {
       now.addAndGet(millis);
       state.recordRevision(new StoreRevision(0, 5));
@@ -380,6 +398,71 @@
         });
   }
 
+  // An owner that was cut off while it was idle went on ordering beside the next owner.
+  @Test
+  public void idleOwnerWithoutMajoritySendsNoOrder() {
+    onLoop(
+        () -> {
+          Fixture fixture = new Fixture();
+          fixture.waitAndTakeOver();
+          fixture.submit("x");
+          assertEquals(fixture.orders.size(), 1);
+          fixture.loseOtherHosts();
+          assertFalse(fixture.runner.isOwner());
+          int before = fixture.orders.size();
+          fixture.submit("y");
+          fixture.waitMillis(10_000);
+          assertEquals(fixture.orders.size(), before);
+          assertFalse(fixture.runner.isOwner());
+          assertEquals(fixture.answers.get(fixture.answers.size() - 1).reason(), "no-holder");
+        });
+  }
+
+  // An idle owner sent its next order without looking whether another host had ordered since.
+  @Test
+  public void idleOwnerReadsTheCountBeforeItsNextOrder() {
+    onLoop(
+        () -> {
+          Fixture fixture = new Fixture();
+          fixture.waitAndTakeOver();
+          fixture.waitMillis(ForwardFixture.settings().bounds().leaseMillis());
+          assertTrue(fixture.runner.isOwner());
+          fixture.orderCount = 8;
+          fixture.submit("x");
+          assertEquals(fixture.orders.size(), 0);
+          assertFalse(fixture.runner.isOwner());
+        });
+  }
+
+  @Test
+  public void idleOwnerInTheMajorityOrdersAtOnce() {
+    onLoop(
+        () -> {
+          Fixture fixture = new Fixture();
+          fixture.waitAndTakeOver();
+          fixture.waitMillis(ForwardFixture.settings().bounds().leaseMillis() * 4);
+          fixture.submit("x");
+          assertEquals(fixture.orders.size(), 1);
+        });
+  }
+
+  // A host counted its wait from a time before the owner's last claim, so that both could order.
+  @Test
+  public void claimOfSilentOwnerDelaysTakeover() {
+    onLoop(
+        () -> {
+          Fixture fixture = new Fixture();
+          EngineStatus status = new EngineStatus("e/1", true, List.of(), 0, 6, 0);
+          fixture.state.engineSelector().updateStatus("other", status, fixture.now.get());
+          fixture.state.engineSelector().removeHost("other");
+          fixture.counts.recordCount("e/1", 7, fixture.now.get() - 20_000);
+          fixture.waitMillis(ForwardFixture.settings().bounds().leaseMillis());
+          assertFalse(fixture.runner.isOwner());
+          fixture.waitMillis(1_000);
+          assertTrue(fixture.runner.isOwner());
+        });
+  }
+
   @Test
   public void pausedHostSendsNoOrderBeforeItNoticesThePause() {
     onLoop(
