Recover permits whose return was lost

Cause: a permit was returned by one message, sent once. If it was lost with its link, or if the grant was, the scheduler counted the adapter as in use until the host was lost or restarted, and neither happened, as a new link worked.

A host now states every 2 s which permits it awaits or holds, in one message with at most 4,096 ids and the highest id that it covers, and the scheduler releases the others. Why this works: a request that was sent later than the statement has a higher id, and a grant under way belongs to a request that is still awaited, so no statement ends a permit that is held. For hosts of earlier builds, which state nothing, a permit ends 2 s after the deadline of its request; engine and host stop there.

Ruled out: an unload that is never carried out.

--- a/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
@@ -257,23 +257,22 @@
   }
 
   /**
-   * Removes the permit requests and releases the permits of a host that failed or left.
+   * Removes permit requests and releases permits that have ended without being returned.
    *
-   * @param host the host
+   * @param ended selects them
    * @param nowMillis the current time, in milliseconds
-   * @return the commands to carry out
+   * @return the commands to carry out, and the number of released permits
    */
-  public List<EngineCommand> removeHost(String host, long nowMillis) {
-    queue.removeHost(host);
+  public PermitRecovery recoverPermits(EndedPermits ended, long nowMillis) {
+    queue.removeEnded(ended, nowMillis);
     List<EngineCommand> commands = new ArrayList<>();
-    for (RunningRequests.Running run : running.all()) {
-      if (run.host().equals(host)) {
-        PermitReturn returned =
-            new PermitReturn(run.request().permitId(), PermitReturn.Outcome.DONE, 0);
-        commands.addAll(release(host, returned, nowMillis));
-      }
+    List<RunningRequests.Running> runs = running.ended(ended, nowMillis);
+    for (RunningRequests.Running run : runs) {
+      PermitReturn returned =
+          new PermitReturn(run.request().permitId(), PermitReturn.Outcome.DONE, 0);
+      commands.addAll(release(run.host(), returned, nowMillis));
     }
-    return commands;
+    return new PermitRecovery(commands, runs.size());
   }
 
   /**
--- a/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
+++ b/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
@@ -21,8 +21,11 @@
     entries.remove(key);
   }
 
-  void removeHost(String host) {
-    entries.values().removeIf(entry -> entry.host().equals(host));
+  void removeEnded(EndedPermits ended, long nowMillis) {
+    entries
+        .values()
+        .removeIf(
+            entry -> ended.contains(entry.host(), entry.request(), entry.waitedMillis(nowMillis)));
   }
 
   /** Removes all requests and returns their refusals. */
--- a/core/src/main/java/org/lentilhinge/permit/RunningRequests.java
+++ b/core/src/main/java/org/lentilhinge/permit/RunningRequests.java
@@ -42,6 +42,12 @@
     return run;
   }
 
+  List<Running> ended(EndedPermits ended, long nowMillis) {
+    return running.values().stream()
+        .filter(run -> ended.contains(run.host(), run.request(), nowMillis - run.grantedAtMillis()))
+        .toList();
+  }
+
   List<Running> all() {
     return List.copyOf(running.values());
   }
--- a/core/src/test/java/org/lentilhinge/permit/EngineSchedulerTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineSchedulerTest.java
@@ -200,7 +200,7 @@
     fresh.reportLoaded("a");
     fresh.scheduler.submit("h", fresh.request("a"), 0);
     assertTrue(fresh.scheduler.isBusy());
-    fresh.scheduler.removeHost("h", 10);
+    fresh.scheduler.recoverPermits(EndedPermits.ofHost("h"), 10);
     assertFalse(fresh.scheduler.isBusy());
   }
 
@@ -376,4 +376,46 @@
     }
     assertTrue(granted >= 36 && granted <= 40, "granted " + granted);
   }
+
+  private static final List<String> SIX = List.of("a", "b", "c", "d", "e", "f");
+
+  /** Has all six adapters run for a host, and then a seventh one be asked for. */
+  private static EngineSchedulerTest withAllSlotsInUse() {
+    EngineSchedulerTest fresh = new EngineSchedulerTest();
+    fresh.reportLoaded(SIX.toArray(new String[0]));
+    for (String adapter : SIX) {
+      fresh.scheduler.submit("h", fresh.request(adapter), 0);
+    }
+    assertEquals(orders(fresh.scheduler.submit("i", fresh.request("x"), 100)), List.of());
+    return fresh;
+  }
+
+  // A return that was lost with its link kept an adapter slot occupied until its host was lost.
+  @Test
+  public void permitThatItsHostDoesNotStateIsRecovered() {
+    EngineSchedulerTest fresh = withAllSlotsInUse();
+    OpenPermits open = new OpenPermits(6, List.of(1L, 2L, 3L, 4L, 5L));
+    PermitRecovery recovery =
+        fresh.scheduler.recoverPermits(EndedPermits.notStated("h", open), 200);
+    assertEquals(recovery.permits(), 1);
+    assertEquals(orders(recovery.commands()), List.of(new AdapterOrder(false, "m", "f", 0)));
+  }
+
+  @Test
+  public void permitsThatAreStatedOrNewerOrOfOtherHostsStay() {
+    EngineSchedulerTest fresh = withAllSlotsInUse();
+    OpenPermits open = new OpenPermits(5, List.of(1L, 2L, 3L, 4L, 5L));
+    assertEquals(
+        fresh.scheduler.recoverPermits(EndedPermits.notStated("h", open), 200).permits(), 0);
+    OpenPermits none = new OpenPermits(100, List.of());
+    assertEquals(
+        fresh.scheduler.recoverPermits(EndedPermits.notStated("j", none), 200).permits(), 0);
+  }
+
+  @Test
+  public void permitIsRecoveredAfterTheDeadlineOfItsRequest() {
+    EngineSchedulerTest fresh = withAllSlotsInUse();
+    assertEquals(fresh.scheduler.recoverPermits(EndedPermits.expired(), 6_000).permits(), 0);
+    assertEquals(fresh.scheduler.recoverPermits(EndedPermits.expired(), 7_001).permits(), 6);
+  }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -7,8 +7,10 @@
 import java.util.Optional;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.EngineCapacity;
+import org.lentilhinge.permit.EndedPermits;
 import org.lentilhinge.permit.EngineScheduler;
 import org.lentilhinge.permit.EngineStatus;
+import org.lentilhinge.permit.OpenPermits;
 import org.lentilhinge.permit.OrderCount;
 import org.lentilhinge.permit.OrderCounts;
 import org.lentilhinge.permit.PermitAnswer;
@@ -111,8 +113,17 @@
     limits.release(host, permitReturn);
   }
 
+  /** Recovers the permits whose return was lost, by the statement of the host that had them. */
+  void recoverPermits(String host, OpenPermits open) {
+    recoverPermits(EndedPermits.notStated(host, open), "not-stated:" + host);
+  }
+
+  private void recoverPermits(EndedPermits ended, String reason) {
+    List.copyOf(runners.values()).forEach(runner -> runner.recoverPermits(ended, reason));
+  }
+
   void removeHost(String host) {
-    List.copyOf(runners.values()).forEach(runner -> runner.removeHost(host));
+    recoverPermits(EndedPermits.ofHost(host), "host-ended:" + host);
     limits.removeHost(host);
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -30,6 +30,7 @@
 import org.lentilhinge.path.PathNews;
 import org.lentilhinge.path.PathQuery;
 import org.lentilhinge.permit.EngineStatuses;
+import org.lentilhinge.permit.OpenPermits;
 import org.lentilhinge.permit.OwnerStatuses;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
@@ -142,7 +143,9 @@
     statuses = new StatusExchange(context, state, new StatusRelay(self), sender);
     permits =
         new PermitClient(
-            sender, (random.nextInt() & FIRST_PERMIT_ID_MASK) << FIRST_PERMIT_ID_SHIFT);
+            sender,
+            context.clock(),
+            (random.nextInt() & FIRST_PERMIT_ID_MASK) << FIRST_PERMIT_ID_SHIFT);
     HostBroadcast broadcast = new HostBroadcast(context, state, new RelaySelector(self), sender);
     limits = new EndpointLimitRunner(context, state, broadcast, sender);
     departures =
@@ -345,6 +348,7 @@
         .on(PermitRequest.class, schedulers::submit)
         .on(PermitAnswer.class, permits::onAnswer)
         .on(PermitReturn.class, schedulers::release)
+        .on(OpenPermits.class, schedulers::recoverPermits)
         .on(ListingNews.class, (host, news) -> follower.receive(news))
         .on(DeclarationNews.class, follower::receive)
         .on(RequestObservations.class, (host, news) -> quarantine.receive(news))
@@ -401,6 +405,7 @@
 
   private void runPeriodicTasks() {
     schedulers.publishStatuses();
+    permits.tick();
     quarantine.tick();
     limits.tick();
     departures.tick();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
@@ -10,6 +10,7 @@
 import org.lentilhinge.path.PathNews;
 import org.lentilhinge.path.PathQuery;
 import org.lentilhinge.permit.EngineStatuses;
+import org.lentilhinge.permit.OpenPermits;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
@@ -46,6 +47,7 @@
         .register(22, EndpointDepartureNews.class)
         .register(23, PathQuery.class)
         .register(24, PathAnswer.class)
-        .register(25, PathNews.class);
+        .register(25, PathNews.class)
+        .register(26, OpenPermits.class);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OtherHostsListener.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OtherHostsListener.java
@@ -38,7 +38,7 @@
   @Override
   public void onEnded(String host) {
     schedulers.removeHost(host);
-    permits.removeHost(host);
+    permits.endHost(host);
     engineSelector.removeHost(host);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineLog.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineLog.java
@@ -22,6 +22,10 @@
     log.line("hold-lost", "engine", engine.id(), "to", to);
   }
 
+  void writeRecovery(String reason, int permits) {
+    log.line("permits-recovered", "engine", engine.id(), "why", reason, "permits", permits);
+  }
+
   void writeUnreachable(String reason) {
     log.line("engine-unreachable", "engine", engine.id(), "why", reason);
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.lease.RendezvousHash;
+import org.lentilhinge.permit.EndedPermits;
 import org.lentilhinge.permit.EngineCommand;
 import org.lentilhinge.permit.EngineOwnership;
 import org.lentilhinge.permit.EngineScheduler;
@@ -12,6 +13,7 @@
 import org.lentilhinge.permit.OrderCount;
 import org.lentilhinge.permit.OrderCounts;
 import org.lentilhinge.permit.PermitAnswer;
+import org.lentilhinge.permit.PermitRecovery;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
 
@@ -141,8 +143,13 @@
     execute(scheduler.release(host, permitReturn, context.now()));
   }
 
-  void removeHost(String host) {
-    execute(scheduler.removeHost(host, context.now()));
+  /** Recovers permits that have ended without being returned. */
+  void recoverPermits(EndedPermits ended, String reason) {
+    PermitRecovery recovery = scheduler.recoverPermits(ended, context.now());
+    if (recovery.permits() > 0) {
+      log.writeRecovery(reason, recovery.permits());
+      execute(recovery.commands());
+    }
   }
 
   /** Records that another host announced its ownership of the engine; its orders are void. */
@@ -182,6 +189,7 @@
     if (leaving) {
       return;
     }
+    recoverPermits(EndedPermits.expired(), "expired");
     execute(scheduler.decide(context.now()));
     if (scheduler.isUnreachable(context.now())
         && context.now() - lastReadAtMillis >= READ_INTERVAL_MILLIS) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/PermitClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/PermitClient.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.lentilhinge.permit.OpenPermitLedger;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
@@ -12,6 +14,8 @@
 final class PermitClient {
 
   private final PeerSender peers;
+  private final LongSupplier clock;
+  private final OpenPermitLedger ledger = new OpenPermitLedger();
   private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
   private long lastPermitId;
 
@@ -21,11 +25,13 @@
    * Creates a client.
    *
    * @param peers sends the messages
+   * @param clock the monotonic clock, in milliseconds
    * @param initialPermitId the id before the first permit id, far from the ids of earlier
    *     incarnations of this host
    */
-  PermitClient(PeerSender peers, long initialPermitId) {
+  PermitClient(PeerSender peers, LongSupplier clock, long initialPermitId) {
     this.peers = peers;
+    this.clock = clock;
     this.lastPermitId = initialPermitId;
   }
 
@@ -40,12 +46,16 @@
    * to the host is lost.
    */
   void request(String host, PermitRequest request, Consumer<PermitAnswer> callback) {
+    ledger.open(host, request.permitId(), clock.getAsLong());
     pendingRequests.put(request.permitId(), new PendingRequest(host, callback));
     peers.send(host, request);
   }
 
   void onAnswer(String host, PermitAnswer answer) {
     PendingRequest pending = pendingRequests.remove(answer.permitId());
+    if (!answer.granted()) {
+      ledger.close(host, answer.permitId());
+    }
     if (pending != null) {
       pending.callback().accept(answer);
     } else if (answer.granted()) {
@@ -57,6 +67,7 @@
   /** Releases a permit, or withdraws a permit request. */
   void release(String host, long permitId, PermitReturn.Outcome outcome, long firstEventMillis) {
     pendingRequests.remove(permitId);
+    ledger.close(host, permitId);
     peers.send(host, new PermitReturn(permitId, outcome, firstEventMillis));
   }
 
@@ -64,6 +75,7 @@
   void removeHost(String host) {
     for (Map.Entry<Long, PendingRequest> entry : List.copyOf(pendingRequests.entrySet())) {
       if (entry.getValue().host().equals(host) && pendingRequests.remove(entry.getKey()) != null) {
+        ledger.close(host, entry.getKey());
         entry
             .getValue()
             .callback()
@@ -71,4 +83,17 @@
       }
     }
   }
+
+  /** States the permits that this host awaits or holds to the hosts that issue them. */
+  void tick() {
+    ledger
+        .dueStatements(lastPermitId, clock.getAsLong())
+        .forEach((host, statement) -> peers.send(host, statement));
+  }
+
+  /** Handles the end of a host: its permits are void. */
+  void endHost(String host) {
+    removeHost(host);
+    ledger.removeHost(host);
+  }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -82,7 +82,7 @@
     quarantine =
         new QuarantineRunner(context, state, new RequestQuarantine(new Random(1)), broadcast);
     limits = new EndpointLimitRunner(context, state, broadcast, this::send);
-    permits = new PermitClient(this::send, 0);
+    permits = new PermitClient(this::send, context.clock(), 0);
     StreamOriginExchange streamOrigins =
         new StreamOriginExchange(
             context.host(), List::of, new CurrentVersions(), (host, message) -> {});
