Ask whether an order may still be sent once there is a connection

An order that waits for a connection could leave after its host had been paused or had lost the engine: the event loop serves sockets before timers, so that on waking the connection opens before the tick that relinquishes the engine, and before the time limit of the call. Found by reading the ways around, which voids orders in the queue, in checks and in answers; shown by tests only, not by processes.

EngineControl.order takes a condition that is evaluated before the first byte; the result NOT_SENT puts the order back, where it is void under any other ownership.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
@@ -17,6 +17,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
@@ -61,9 +62,34 @@
       Map<String, String> headers,
       Buffer body,
       long timeoutMillis) {
+    return call(method, address, target, headers, body, timeoutMillis, () -> true);
+  }
+
+  /**
+   * Makes a call that may become invalid while a connection is opened, for example because this
+   * process is paused meanwhile.
+   *
+   * @param method the HTTP method
+   * @param address the IP address and port
+   * @param target the path and query
+   * @param headers additional headers
+   * @param body the body, which may be empty
+   * @param timeoutMillis the maximum wait for the complete response, in milliseconds
+   * @param mayBeSent is asked before the first byte is sent
+   * @return the response; fails with a {@link NotSentException} if the call may not be made any
+   *     more, or with another {@link IOException} if no response is received
+   */
+  public Future<ControlResponse> call(
+      String method,
+      String address,
+      String target,
+      Map<String, String> headers,
+      Buffer body,
+      long timeoutMillis,
+      BooleanSupplier mayBeSent) {
     ResponseTimeout timeout = ResponseTimeout.ofTotal(timeoutMillis, clock.getAsLong());
     // Connections to endpoints are shared with the requests of callers.
-    return call(method, address, target, headers, body, timeout, true);
+    return call(method, address, target, headers, body, timeout, mayBeSent, true);
   }
 
   /**
@@ -78,7 +104,7 @@
    */
   public Future<ControlResponse> read(String address, String target, long silenceMillis) {
     ResponseTimeout timeout = ResponseTimeout.ofSilence(silenceMillis, clock.getAsLong());
-    return call("GET", address, target, Map.of(), Buffer.buffer(), timeout, false);
+    return call("GET", address, target, Map.of(), Buffer.buffer(), timeout, () -> true, false);
   }
 
   private Future<ControlResponse> call(
@@ -88,6 +114,7 @@
       Map<String, String> headers,
       Buffer body,
       ResponseTimeout timeout,
+      BooleanSupplier mayBeSent,
       boolean sharedConnection) {
     HttpRequest request =
         new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target);
@@ -103,7 +130,9 @@
         .onSuccess(
             connection -> {
               promise.future().onFailure(failure -> connection.cancel());
-              if (!promise.future().isComplete()) {
+              if (!mayBeSent.getAsBoolean()) {
+                promise.tryFail(new NotSentException(description));
+              } else if (!promise.future().isComplete()) {
                 ByteBuf bytes = Unpooled.wrappedBuffer(body.getBytes());
                 connection.send(
                     request,
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineControl.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineControl.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
 import io.vertx.core.Future;
+import java.util.function.BooleanSupplier;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.permit.AdapterOrder;
 
@@ -15,15 +16,18 @@
    * @param expectedOrderCount the number of orders that the engine is expected to have accepted
    * @param owner the name of this host
    * @param fencingToken the fencing token
-   * @return the result, or {@link OrderResult#UNKNOWN} if no valid response is received; the future
-   *     never fails
+   * @param mayBeSent is asked again before the first byte is sent, as a connection may have to be
+   *     opened first
+   * @return the result, {@link OrderResult#NOT_SENT} if the order may not be sent any more, or
+   *     {@link OrderResult#UNKNOWN} if no valid response is received; the future never fails
    */
   Future<OrderResult> order(
       FleetEndpoint engine,
       AdapterOrder order,
       long expectedOrderCount,
       String owner,
-      long fencingToken);
+      long fencingToken,
+      BooleanSupplier mayBeSent);
 
   /**
    * Reads the report of an engine.
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OrderResult.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OrderResult.java
@@ -14,6 +14,8 @@
   MISDIRECTED,
   /** The engine does not know the ordered model or adapter. */
   INVALID,
+  /** The order was not sent, because it might no longer be sent once there was a connection. */
+  NOT_SENT,
   /** No valid response was received: the order may have been accepted. */
   UNKNOWN
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -339,29 +339,41 @@
 
   private void sendNextOrder() {
     long now = context.now();
-    // After a pause other hosts may own the engine, which the next tick takes into account.
-    boolean paused = now - lastTickAtMillis > EngineSchedulers.MAXIMUM_TICK_GAP_MILLIS;
-    if (orderInFlight || closed || leaving || paused) {
+    if (orderInFlight || !mayOrder() || !orders.hasNext(ownership.ownershipNumber())) {
       return;
     }
-    if (!ownership.isActive(now) && orders.hasNext(ownership.ownershipNumber())) {
-      if (!ownershipRules.isInMajority() || scheduler.isUnreachable(now)) {
-        return;
-      }
-      if (!ownership.isCountConfirmed(now)) {
-        readReport("idle-owner");
-        return;
-      }
+    if (!ownership.isActive(now)
+        && (!ownershipRules.isInMajority() || scheduler.isUnreachable(now))) {
+      return;
+    }
+    if (!ownership.isActive(now) && !ownership.isCountConfirmed(now)) {
+      readReport("idle-owner");
+      return;
     }
     orders.takeNext(ownership.ownershipNumber(), now).ifPresent(this::send);
   }
 
+  /**
+   * Indicates whether this host may send orders. After a pause of the process other hosts may own
+   * the engine, which the next tick takes into account.
+   */
+  private boolean mayOrder() {
+    boolean paused = context.now() - lastTickAtMillis > EngineSchedulers.MAXIMUM_TICK_GAP_MILLIS;
+    return !closed && !leaving && !paused;
+  }
+
   private void send(OwnedOrder order) {
     orderInFlight = true;
     long expectedOrderCount = ownership.expectedOrderCount().orElse(0);
     long fencingToken = ownership.fencingToken().orElseThrow();
     control
-        .order(engine, order.order(), expectedOrderCount, context.host(), fencingToken)
+        .order(
+            engine,
+            order.order(),
+            expectedOrderCount,
+            context.host(),
+            fencingToken,
+            () -> mayOrder() && isValid(order))
         .onSuccess(result -> processResult(order, result));
   }
 
@@ -378,6 +390,11 @@
     }
     long now = context.now();
     // The engine answers a repeated load in the same way as the first one but counts it only once.
+    if (result == OrderResult.NOT_SENT) {
+      log.writeOrder("order-void", order.order(), result);
+      orders.add(order);
+      return;
+    }
     boolean first = orders.recordCounted(order);
     if (first || result != OrderResult.ACCEPTED) {
       log.writeOrder("order", order.order(), result);
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ControlHttpClientTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ControlHttpClientTest.java
@@ -2,12 +2,16 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
+import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -73,4 +77,34 @@
     }
     assertTrue(stalled.awaitClosed());
   }
+
+  // An order was sent although its host had lost the engine while the connection was opened.
+  @Test
+  public void callThatMayNoLongerBeMadeIsNotSent() throws InterruptedException {
+    AtomicInteger requests = new AtomicInteger();
+    ScriptedEndpoint endpoint =
+        new ScriptedEndpoint(vertx, (socket, request) -> requests.incrementAndGet());
+    LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    ControlHttpClient client =
+        new ControlHttpClient(vertx, new EndpointPool(vertx, 1_000, clock), clock);
+    CompletionException failure =
+        expectThrows(
+            CompletionException.class,
+            () ->
+                client
+                    .call(
+                        "POST",
+                        endpoint.address(),
+                        "/",
+                        Map.of(),
+                        Buffer.buffer("x"),
+                        TIMEOUT_MILLIS,
+                        () -> false)
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .join());
+    assertTrue(failure.getCause() instanceof NotSentException, String.valueOf(failure.getCause()));
+    assertTrue(endpoint.awaitClosed());
+    assertEquals(requests.get(), 0);
+  }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/NoEngineControl.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/NoEngineControl.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
 import io.vertx.core.Future;
+import java.util.function.BooleanSupplier;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.permit.AdapterOrder;
 
@@ -9,7 +10,12 @@
 
   @Override
   public Future<OrderResult> order(
-      FleetEndpoint engine, AdapterOrder order, long expected, String owner, long token) {
+      FleetEndpoint engine,
+      AdapterOrder order,
+      long expected,
+      String owner,
+      long token,
+      BooleanSupplier mayBeSent) {
     return Future.failedFuture("no engine");
   }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineRunnerTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineRunnerTest.java
@@ -18,6 +18,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.lentilhinge.fleet.EndpointState;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.identity.StoreRevision;
@@ -90,6 +91,7 @@
     private boolean reporting = true;
     private OptionalLong startedAtMillis = OptionalLong.empty();
     private Optional<Promise<OrderResult>> heldOrder = Optional.empty();
+    private BooleanSupplier latestMayBeSent = () -> true;
     private long lastPermitId;
     private long orderCount = 7;
     private final Map<String, Long> adapters = new HashMap<>();
@@ -161,8 +163,10 @@
         AdapterOrder order,
         long expectedOrderCount,
         String owner,
-        long fencingToken) {
+        long fencingToken,
+        BooleanSupplier mayBeSent) {
       orders.add(order);
+      latestMayBeSent = mayBeSent;
       return heldOrder.map(Promise::future).orElseGet(() -> Future.succeededFuture(orderResult));
     }
 
@@ -474,4 +478,39 @@
           assertEquals(fixture.orders.size(), 0);
         });
   }
+
+  // An order that waited for a connection was sent after a pause in which another host took over.
+  @Test
+  public void orderThatWaitsForConnectionIsVoidAfterPause() {
+    onLoop(
+        () -> {
+          Fixture fixture = new Fixture();
+          fixture.waitAndTakeOver();
+          Promise<OrderResult> held = Promise.promise();
+          fixture.heldOrder = Optional.of(held);
+          fixture.submit("x");
+          assertTrue(fixture.latestMayBeSent.getAsBoolean());
+          fixture.now.addAndGet(4_000);
+          assertFalse(fixture.latestMayBeSent.getAsBoolean());
+          held.complete(OrderResult.NOT_SENT);
+          fixture.runner.relinquish("own-pause");
+          fixture.heldOrder = Optional.empty();
+          fixture.waitAndTakeOver();
+          assertEquals(fixture.orders.size(), 1);
+        });
+  }
+
+  @Test
+  public void orderThatWaitsForConnectionIsVoidUnderLaterOwnership() {
+    onLoop(
+        () -> {
+          Fixture fixture = new Fixture();
+          fixture.waitAndTakeOver();
+          fixture.heldOrder = Optional.of(Promise.promise());
+          fixture.submit("x");
+          fixture.runner.relinquish("test");
+          fixture.waitAndTakeOver();
+          assertFalse(fixture.latestMayBeSent.getAsBoolean());
+        });
+  }
 }
