--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineRunnerTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineRunnerTest.java
@@ -4,57 +4,22 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Context;
-import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import java.io.PrintStream;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.BooleanSupplier;
-import org.lentilhinge.fleet.EndpointState;
-import org.lentilhinge.fleet.FleetEndpoint;
-import org.lentilhinge.identity.StoreRevision;
-import org.lentilhinge.limit.RequestRate;
-import org.lentilhinge.overlay.HostHeartbeat;
-import org.lentilhinge.overlay.HostOverlay;
-import org.lentilhinge.overlay.HostRecord;
 import org.lentilhinge.permit.AdapterOrder;
-import org.lentilhinge.permit.EngineScheduler;
 import org.lentilhinge.permit.EngineStatus;
-import org.lentilhinge.permit.OrderCounts;
-import org.lentilhinge.permit.PermitAnswer;
-import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
-import org.lentilhinge.permit.SchedulerSettings;
-import org.lentilhinge.permit.StatusRelay;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
 
 /** Tests how a host takes over an engine, sends orders and relinquishes it, on a manual clock. */
 public class OwnedEngineRunnerTest {
 
-  private static final FleetEndpoint ENGINE =
-      new FleetEndpoint(
-          "e",
-          1,
-          "s",
-          "10.0.0.9:80",
-          "a",
-          EndpointState.READY,
-          0,
-          new StoreRevision(0, 1),
-          List.of("m"),
-          "v1",
-          6);
-
   private final Vertx vertx = Vertx.vertx();
   private final Context loop = vertx.getOrCreateContext();
 
@@ -79,135 +44,11 @@
     done.join();
   }
 
-  /** An engine with its model and no adapter loaded, and the runner of that engine. */
-  private final class Fixture implements EngineControl {
-
-    private final AtomicLong now = new AtomicLong(1_000);
-    private final List<AdapterOrder> orders = new ArrayList<>();
-    private final List<PermitAnswer> answers = new ArrayList<>();
-    private final OrderCounts counts = new OrderCounts();
-    private final OwnedEngineRunner runner;
-    private OrderResult orderResult = OrderResult.ACCEPTED;
-    private boolean reporting = true;
-    private OptionalLong startedAtMillis = OptionalLong.empty();
-    private Optional<Promise<OrderResult>> heldOrder = Optional.empty();
-    private BooleanSupplier latestMayBeSent = () -> true;
-    private long lastPermitId;
-    private long orderCount = 7;
-    private final Map<String, Long> adapters = new HashMap<>();
-
-    private final HostContext context =
-        new HostContext(
-            vertx,
-            ForwardFixture.settings(),
-            now::get,
-            new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
-            new MetricRegistry());
-    private final HostOverlay overlay = ForwardFixture.overlay(ForwardFixture.settings());
-    private final HostState state = new HostState(context, overlay);
-
-    Fixture() {
-      state.recordRevision(new StoreRevision(0, 5));
-      PeerSender peers =
-          (host, message) -> {
-            if (message instanceof PermitAnswer answer) {
-              answers.add(answer);
-            }
-          };
-      EngineScheduler scheduler =
-          new EngineScheduler(
-              new SchedulerSettings(64, 100_000, 6, 4, 120), "m", true, 22, new RequestRate());
-      HostRecord self = new HostRecord("10.0.0.1", "a", "north", 1, 1, false);
-      StatusExchange statuses = new StatusExchange(context, state, new StatusRelay(self), peers);
-      runner =
-          new OwnedEngineRunner(context, this, peers, statuses, state, ENGINE, scheduler, counts);
-    }
-
-    /** Advances the clock by twice the lease with an unchanged order count. */
-    private void waitAndTakeOver() {
-      advance(ForwardFixture.settings().bounds().leaseMillis() * 2);
-      assertTrue(runner.isOwner());
-    }
-
-    private void waitMillis(long millis) {
-      for (long waited = 0; waited < millis; waited += 500) {
-        advance(500);
-      }
-    }
-
-    /** Has other hosts join that then fall silent, so that this host is in the minority. */
-    private void loseOtherHosts() {
-      overlay.onTick(now.get());
-      for (String host : List.of("10.0.0.2", "10.0.0.3")) {
-        HostRecord other = new HostRecord(host, "a", "north", 1, 1, false);
-        overlay.onMessage(host, new HostHeartbeat(other, 0, true), now.get());
-      }
-      overlay.onTick(now.get());
-      assertEquals(overlay.millisWithoutMajority(now.get()), 0);
-      for (int step = 0; step < 60; step++) {
-        advance(50);
-        overlay.onTick(now.get());
-      }
-      assertTrue(overlay.millisWithoutMajority(now.get()) > 0);
-    }
-
-    private void advance(long millis) {
-      now.addAndGet(millis);
-      state.recordRevision(new StoreRevision(0, 5));
-      runner.tick();
-    }
-
-    @Override
-    public Future<OrderResult> order(
-        FleetEndpoint engine,
-        AdapterOrder order,
-        long expectedOrderCount,
-        String owner,
-        long fencingToken,
-        BooleanSupplier mayBeSent) {
-      orders.add(order);
-      latestMayBeSent = mayBeSent;
-      return heldOrder.map(Promise::future).orElseGet(() -> Future.succeededFuture(orderResult));
-    }
-
-    /** Returns an order as of the current ownership of the runner. */
-    private OwnedOrder owned(AdapterOrder order) {
-      return new OwnedOrder(order, runner.ownershipNumber().orElse(0));
-    }
-
-    @Override
-    public Future<EngineReport> report(FleetEndpoint engine) {
-      return reporting
-          ? Future.succeededFuture(
-              new EngineReport(startedAtMillis, orderCount, List.of("m"), adapters, Map.of()))
-          : Future.failedFuture("no report");
-    }
-
-    private void submit(String adapter) {
-      lastPermitId++;
-      runner.submit(
-          "h",
-          new PermitRequest(
-              lastPermitId,
-              "r",
-              "e/1",
-              "m",
-              adapter,
-              0,
-              500,
-              50,
-              1,
-              1_000,
-              5_000,
-              Optional.empty()));
-    }
-  }
-
   @Test
   public void orderToEndedIncarnationIsNotRepeatedAtOnce() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           fixture.orderResult = OrderResult.MISDIRECTED;
           fixture.submit("x");
@@ -222,7 +63,7 @@
   public void stoppingHostSendsNoOrdersAndRefusesRequestsThatNeedOne() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           fixture.submit("x");
           assertEquals(fixture.orders.size(), 1);
@@ -238,7 +79,7 @@
   public void orderCountFromAnotherHostShortensTakeover() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           // The first report does not yet include the last orders of the previous owner.
           fixture.orderCount = 9;
           fixture.counts.recordCount("e/1", 9, fixture.now.get() - 2_000);
@@ -253,7 +94,7 @@
   public void engineOwnedByAnotherHostIsNotTakenOver() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.counts.recordCount("e/1", 7, fixture.now.get() - 20_000);
           EngineStatus status = new EngineStatus("e/1", true, List.of(), 0, 6, 0);
           fixture.state.engineSelector().updateStatus("other", status, fixture.now.get());
@@ -267,7 +108,7 @@
   public void longLoadIsCheckedByReportsInsteadOfRepeatedOrders() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           fixture.submit("x");
           AdapterOrder load = fixture.orders.get(0);
@@ -288,7 +129,7 @@
   public void hostWithoutFreshRevisionDoesNotTakeOver() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           long wait = ForwardFixture.settings().bounds().leaseMillis() * 2;
           fixture.now.addAndGet(wait);
           fixture.runner.tick();
@@ -302,7 +143,7 @@
   public void leavingEngineGetsNoOrdersAndItsWaitingRequestsGoElsewhere() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           fixture.submit("x");
           assertEquals(fixture.orders.size(), 1);
@@ -321,7 +162,7 @@
   public void engineThatAnotherHostDoesNotReachIsUsedByTheOthers() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.adapters.put("x", 0L);
           fixture.waitAndTakeOver();
           fixture.submit("");
@@ -336,7 +177,7 @@
   public void engineThatDoesNotReportEitherIsUnreachable() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           fixture.submit("");
           fixture.reporting = false;
@@ -351,7 +192,7 @@
   public void orderOfFormerOwnershipIsVoid() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           fixture.orderResult = OrderResult.CONFLICT;
           fixture.submit("x");
@@ -368,7 +209,7 @@
   public void answerToAnOrderOfFormerOwnershipIsNotCounted() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           Promise<OrderResult> held = Promise.promise();
           fixture.heldOrder = Optional.of(held);
@@ -387,7 +228,7 @@
   public void engineThatWasRestartedUnderItsIdIsNotOrdered() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           fixture.startedAtMillis = OptionalLong.of(2);
           fixture.orderCount = 0;
@@ -407,7 +248,7 @@
   public void idleOwnerWithoutMajoritySendsNoOrder() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           fixture.submit("x");
           assertEquals(fixture.orders.size(), 1);
@@ -427,7 +268,7 @@
   public void idleOwnerReadsTheCountBeforeItsNextOrder() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           fixture.waitMillis(ForwardFixture.settings().bounds().leaseMillis());
           assertTrue(fixture.runner.isOwner());
@@ -442,7 +283,7 @@
   public void idleOwnerInTheMajorityOrdersAtOnce() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           fixture.waitMillis(ForwardFixture.settings().bounds().leaseMillis() * 4);
           fixture.submit("x");
@@ -455,7 +296,7 @@
   public void claimOfSilentOwnerDelaysTakeover() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           EngineStatus status = new EngineStatus("e/1", true, List.of(), 0, 6, 0);
           fixture.state.engineSelector().updateStatus("other", status, fixture.now.get());
           fixture.state.engineSelector().removeHost("other");
@@ -471,7 +312,7 @@
   public void pausedHostSendsNoOrderBeforeItNoticesThePause() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           fixture.now.addAndGet(4_000);
           fixture.submit("x");
@@ -484,7 +325,7 @@
   public void orderThatWaitsForConnectionIsVoidAfterPause() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           Promise<OrderResult> held = Promise.promise();
           fixture.heldOrder = Optional.of(held);
@@ -504,7 +345,7 @@
   public void orderThatWaitsForConnectionIsVoidUnderLaterOwnership() {
     onLoop(
         () -> {
-          Fixture fixture = new Fixture();
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
           fixture.waitAndTakeOver();
           fixture.heldOrder = Optional.of(Promise.promise());
           fixture.submit("x");
