Give every request that was read a true response in a planned stop

Cause: the stop counted requests, not what they need, and waited for what had been written, not for what had been sent.

Now a request that is expected to end after the stop is refused at once, not run, with a retry in 50 ms. The process waits until the sockets have taken all responses. Why this works: the status follows from RequestProgress, as everywhere, and the connection counts as open until its last byte is passed on.

Ruled out: requests for other hosts, which a stopping host refuses already.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -183,7 +183,7 @@
     if (closing || server.isStopping()) {
       open = false;
       // The socket is closed after the data written before has been sent.
-      socket.close();
+      server.onConnectionClosing(socket.close());
       server.onConnectionClosed(this);
     } else {
       startNext();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerServer.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerServer.java
@@ -26,6 +26,7 @@
   private final LongSupplier clock;
   private boolean stopping;
   private int requestsInFlight;
+  private int closingConnections;
 
   /**
    * Creates a server that does not listen yet.
@@ -88,6 +89,26 @@
     return requestsInFlight;
   }
 
+  /**
+   * Returns the number of responses that are not complete or not sent yet.
+   *
+   * @return the number of responses that end incomplete if the process ends now
+   */
+  public int unfinishedResponses() {
+    return requestsInFlight + closingConnections;
+  }
+
+  /** Indicates whether all responses have been passed to the operating system. */
+  boolean isDrained() {
+    return unfinishedResponses() == 0;
+  }
+
+  /** Records that a connection closes once the last response on it has been sent. */
+  void onConnectionClosing(Future<Void> closed) {
+    closingConnections++;
+    closed.onComplete(result -> closingConnections--);
+  }
+
   void startRequest(CallerExchange exchange) {
     requestsInFlight++;
     handler.accept(exchange);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -442,18 +442,21 @@
 
   private void beginStop() {
     context.log().line("stop", "host", context.host(), "running", callerServer.requestsInFlight());
-    state.setLeaving();
+    PlannedStop stop =
+        new PlannedStop(context, callerServer, forwarder, TICK_INTERVAL_MILLIS, this::finishStop);
+    state.setStopsAt(stop.endAtMillis());
     schedulers.relinquishAll("own-stop");
     callerServer.stop();
     overlay.leave();
-    new PlannedStop(context, callerServer, TICK_INTERVAL_MILLIS, this::finishStop).start();
+    stop.start();
   }
 
   private void finishStop() {
     if (stopped.tryComplete()) {
       follower.stop();
+      int cut = callerServer.unfinishedResponses();
       callerServer.close();
-      context.log().line("stopped", "host", context.host(), "cut", callerServer.requestsInFlight());
+      context.log().line("stopped", "host", context.host(), "cut", cut);
     }
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -36,6 +36,7 @@
   private static final long DEFAULT_RETRY_MILLIS = 400;
 
   private static final int MAXIMUM_URGENCY_RANK = 9;
+  private static final String OUT_OF_TIME = "out-of-time";
   private static final String SUSPECTED = "suspected-of-crashes";
 
   private final Forwarder forwarder;
@@ -252,21 +253,10 @@
     retryAfterMillis = OptionalLong.of(Math.min(millis, retryAfterMillis.orElse(millis)));
   }
 
-  private void logRoute(FleetEndpoint endpoint) {
-    log.write(
-        "route",
-        "endpoint",
-        endpoint.id(),
-        "revision",
-        endpoint.revision(),
-        "fleetAgeMs",
-        state.endpoints().ageMillis(context.now()).orElse(-1L));
-  }
-
   private void startAttempt(FleetEndpoint endpoint, OptionalLong version) {
     choice.exclude(endpoint);
     if (!choice.isEngineService()) {
-      logRoute(endpoint);
+      log.writeRoute(endpoint, state.endpoints().ageMillis(context.now()));
     }
     EndpointRequestMetadata metadata =
         new EndpointRequestMetadata(
@@ -421,6 +411,16 @@
   }
 
   private void onDeadline() {
+    end(OUT_OF_TIME);
+  }
+
+  /** Indicates whether no attempt can have run, and none has been sent. */
+  boolean isUnsent() {
+    return progress.isCertainlyNotRun() && !attempt.map(EndpointAttempt::isSent).orElse(false);
+  }
+
+  /** Ends the request without waiting any longer for a response. */
+  void end(String reason) {
     if (finished) {
       return;
     }
@@ -430,7 +430,10 @@
     if (sent) {
       progress.recordOutcome(AttemptOutcome.UNKNOWN);
     }
-    fail("out-of-time");
+    if (reason.equals(Forwarder.STOPPING)) {
+      retryAfterMillis = OptionalLong.of(Forwarder.STOPPING_RETRY_MILLIS);
+    }
+    fail(reason);
   }
 
   private void onCallerDisconnected() {
@@ -461,7 +464,7 @@
       exchange.refuseForNow(retryDelayMillis(), reason);
     } else if (progress.isCertainlyNotRun()) {
       exchange.respond(503, Optional.of(retryDelayMillis()), reason);
-    } else if (reason.equals("out-of-time")) {
+    } else if (reason.equals(OUT_OF_TIME)) {
       exchange.respond(504, Optional.empty(), reason);
     } else {
       exchange.respond(502, Optional.empty(), reason);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -6,9 +6,11 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.lentilhinge.forward.ForwardConfiguration;
 import org.lentilhinge.forward.ForwardRoute;
+import org.lentilhinge.forward.RequestDuration;
 import org.lentilhinge.identity.DeclaredVersion;
 import org.lentilhinge.lease.RendezvousHash;
 import org.lentilhinge.resume.StreamOriginExchange;
@@ -19,6 +21,12 @@
   /** The retry delay for callers of a host without a configuration, in milliseconds. */
   private static final long CONFIGURATION_RETRY_MILLIS = 300;
 
+  /** The reason of a request that a stopping host does not serve to its end. */
+  static final String STOPPING = "stopping";
+
+  /** The retry delay for callers of a stopping host, in milliseconds; other hosts take over. */
+  static final long STOPPING_RETRY_MILLIS = 50;
+
   /** The retry delay for a host whose relayed request is refused, in milliseconds. */
   private static final long RELAY_RETRY_MILLIS = 300;
 
@@ -142,6 +150,10 @@
       reject(exchange, metadata, 404, Optional.empty(), "no-route");
       return;
     }
+    if (!exchange.isRelayed() && endsAfterStop(route.get(), metadata)) {
+      reject(exchange, metadata, 503, Optional.of(STOPPING_RETRY_MILLIS), STOPPING);
+      return;
+    }
     String service =
         route.get().selectService(RendezvousHash.hash(metadata.requestId().orElse("")));
     if (!exchange.isRelayed()) {
@@ -156,6 +168,16 @@
     forwarded.start();
   }
 
+  /** Indicates whether a planned stop is expected to end before a request that arrives now. */
+  private boolean endsAfterStop(ForwardRoute route, RequestMetadata metadata) {
+    OptionalLong stopsAtMillis = state.stopsAtMillis();
+    int outputTokens =
+        metadata.generation().map(RequestMetadata.Generation::outputTokens).orElse(0);
+    return stopsAtMillis.isPresent()
+        && context.now() + RequestDuration.expectedMillis(route, outputTokens)
+            > stopsAtMillis.getAsLong();
+  }
+
   private void refuseRelayed(CallerExchange exchange, RequestMetadata metadata) {
     context
         .log()
@@ -177,6 +199,20 @@
     List.copyOf(running).forEach(ForwardedRequest::onPathLost);
   }
 
+  /** Refuses the requests that were not sent to an endpoint, as this host stops soon. */
+  void refuseUnsent() {
+    for (ForwardedRequest request : List.copyOf(running)) {
+      if (request.isUnsent()) {
+        request.end(STOPPING);
+      }
+    }
+  }
+
+  /** Ends all requests with a response that states truly whether they may have run. */
+  void endAll() {
+    List.copyOf(running).forEach(request -> request.end(STOPPING));
+  }
+
   private void reject(
       CallerExchange exchange,
       RequestMetadata metadata,
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.lentilhinge.dispatch.EndpointPauses;
 import org.lentilhinge.dispatch.SendCondition;
 import org.lentilhinge.dispatch.SendObstacle;
@@ -47,7 +48,7 @@
   private StoreRevision storeRevision = StoreRevision.NONE;
   private long revisionReadAtMillis;
   private Runnable revisionReader = () -> {};
-  private boolean leaving;
+  private OptionalLong stopsAtMillis = OptionalLong.empty();
   private final Map<String, List<String>> ownerRankings = new HashMap<>();
   private long rankedGeneration = -1;
 
@@ -206,11 +207,17 @@
   }
 
   boolean isLeaving() {
-    return leaving;
+    return stopsAtMillis.isPresent();
   }
 
-  void setLeaving() {
-    leaving = true;
+  /** Returns when the responses to callers end in a planned stop; empty if none has begun. */
+  OptionalLong stopsAtMillis() {
+    return stopsAtMillis;
+  }
+
+  /** Begins a planned stop in which responses to callers end at a time, in milliseconds. */
+  void setStopsAt(long endMillis) {
+    stopsAtMillis = OptionalLong.of(endMillis);
   }
 
   /** Returns the hosts that may own an engine, the preferred one first. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/PlannedStop.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/PlannedStop.java
@@ -2,7 +2,11 @@
 
 import io.vertx.core.Vertx;
 
-/** Waits, during a planned stop, until the responses to callers are complete or time is up. */
+/**
+ * Ends the requests of callers in a planned stop. Each request that was read completely gets a
+ * response, and the process ends only when all responses have been passed to the operating system
+ * or the time allowed for the stop has elapsed.
+ */
 final class PlannedStop {
 
   /**
@@ -12,13 +16,24 @@
   private static final long BALANCER_DRAIN_MILLIS = 2_600;
 
   /** The time reserved for the process exit at the end of a planned stop, in milliseconds. */
-  private static final long EXIT_RESERVE_MILLIS = 500;
+  private static final long EXIT_RESERVE_MILLIS = 300;
+
+  /** The time reserved for sending the responses before, in milliseconds. */
+  private static final long SEND_RESERVE_MILLIS = 400;
+
+  /**
+   * The time before the end of all responses from which on requests that were not sent to an
+   * endpoint are refused, in milliseconds.
+   */
+  private static final long REFUSAL_LEAD_MILLIS = 1_000;
 
   private final HostContext context;
   private final CallerServer callerServer;
+  private final Forwarder forwarder;
   private final long checkIntervalMillis;
   private final Runnable completion;
-  private final long endAtMillis;
+  private final long exitAtMillis;
+  private boolean ended;
 
   /**
    * Creates a stop that begins now.
@@ -29,13 +44,20 @@
   PlannedStop(
       HostContext context,
       CallerServer callerServer,
+      Forwarder forwarder,
       long checkIntervalMillis,
       Runnable completion) {
     this.context = context;
     this.callerServer = callerServer;
+    this.forwarder = forwarder;
     this.checkIntervalMillis = checkIntervalMillis;
     this.completion = completion;
-    endAtMillis = context.now() + context.settings().bounds().stopMillis() - EXIT_RESERVE_MILLIS;
+    exitAtMillis = context.now() + context.settings().bounds().stopMillis() - EXIT_RESERVE_MILLIS;
+  }
+
+  /** Returns the time at which the last responses end, in milliseconds. */
+  long endAtMillis() {
+    return exitAtMillis - SEND_RESERVE_MILLIS;
   }
 
   /** Closes idle connections once the balancer sends no new requests, and then waits. */
@@ -44,13 +66,20 @@
     vertx.setTimer(
         BALANCER_DRAIN_MILLIS,
         timer -> {
-          callerServer.closeIdle(endAtMillis - context.now());
+          callerServer.closeIdle(exitAtMillis - context.now());
           vertx.setPeriodic(checkIntervalMillis, id -> check());
         });
   }
 
   private void check() {
-    if (callerServer.requestsInFlight() == 0 || context.now() >= endAtMillis) {
+    long now = context.now();
+    if (now >= endAtMillis() && !ended) {
+      ended = true;
+      forwarder.endAll();
+    } else if (now >= endAtMillis() - REFUSAL_LEAD_MILLIS) {
+      forwarder.refuseUnsent();
+    }
+    if (callerServer.isDrained() || now >= exitAtMillis) {
       completion.run();
     }
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestLog.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestLog.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.AttemptOutcome;
 import org.lentilhinge.limit.RequestLimit;
 
@@ -26,6 +27,18 @@
     log.line(event, allFields);
   }
 
+  /** Writes the line of the choice of a plain endpoint, with the age of the listing. */
+  void writeRoute(FleetEndpoint endpoint, Optional<Long> listingAgeMillis) {
+    write(
+        "route",
+        "endpoint",
+        endpoint.id(),
+        "revision",
+        endpoint.revision(),
+        "fleetAgeMs",
+        listingAgeMillis.orElse(-1L));
+  }
+
   /** Writes the line of an attempt that has ended. */
   void writeAttempt(
       EndpointAttempt attempt, AttemptOutcome outcome, String reason, List<String> sharedParts) {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -347,6 +347,38 @@
     advancedMillis.addAndGet(millis);
   }
 
+  /** Has the host stop as planned; its responses end after a time, in milliseconds. */
+  void stopAfter(long millis) {
+    onLoop(() -> state.setStopsAt(context.now() + millis));
+  }
+
+  /** Ends all requests as at the end of a planned stop. */
+  void endAll() {
+    onLoop(forwarder::endAll);
+  }
+
+  /** Refuses the requests that were not sent, as shortly before the end of a planned stop. */
+  void refuseUnsent() {
+    onLoop(forwarder::refuseUnsent);
+  }
+
+  private void onLoop(Runnable task) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    loop.runOnContext(
+        unused -> {
+          task.run();
+          done.complete(null);
+        });
+    done.join();
+  }
+
+  /** Returns the number of responses that are not complete or not sent yet. */
+  int unfinishedResponses() {
+    CompletableFuture<Integer> number = new CompletableFuture<>();
+    loop.runOnContext(unused -> number.complete(callerServer.unfinishedResponses()));
+    return number.join();
+  }
+
   /** Starts a planned stop on the event loop. */
   void stop() {
     CompletableFuture<Void> done = new CompletableFuture<>();
