Read a limit of an earlier build as one that states no refusals

A request limit that a host of announces (40 a second) was read as the limit of an endpoint that can refuse nothing: its requests would have been sent with permits, as to a brittle endpoint. Cause: the codec sets a component that an older sender lacks to the default of its type, and for this number zero is a value.

A component that was added later now states with @AbsentMeans what its absence means, and the codec uses it.

Evidence: MessageCodecTest, one new case, fails without the annotation with refusalsPerSecond=0.0. Only shown by this test, not by hosts of two builds.

--- a/core/src/main/java/org/lentilhinge/limit/RequestLimit.java
+++ b/core/src/main/java/org/lentilhinge/limit/RequestLimit.java
@@ -1,5 +1,7 @@
 package org.lentilhinge.limit;
 
+import org.lentilhinge.message.AbsentMeans;
+
 /**
  * What an endpoint accepts from all hosts together, as it states it in its responses.
  *
@@ -7,7 +9,8 @@
  * @param refusalsPerSecond the number of requests that the endpoint can refuse in a second for want
  *     of room without a crash; infinite if it states none
  */
-public record RequestLimit(double perSecond, double refusalsPerSecond) {
+public record RequestLimit(
+    double perSecond, @AbsentMeans(Double.POSITIVE_INFINITY) double refusalsPerSecond) {
 
   /** The limit of an endpoint that states none. */
   public static final RequestLimit UNLIMITED =
--- a/runtime/src/main/java/org/lentilhinge/runtime/peer/RecordCodec.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/peer/RecordCodec.java
@@ -7,12 +7,13 @@
 import java.lang.reflect.RecordComponent;
 import java.util.Arrays;
 import java.util.Optional;
+import org.lentilhinge.message.AbsentMeans;
 import org.msgpack.core.MessagePacker;
 
 /**
  * Encodes the records of one class as MessagePack arrays of their components. On reading, trailing
  * components added by a newer sender are skipped, and components that an older sender omits are set
- * to the default of their type.
+ * to what {@link AbsentMeans} states, or else to the default of their type.
  *
  * <p>Uses reflection instead of method handles, which generate a class for each shape of record: a
  * third of the time until a host has started.
@@ -86,6 +87,10 @@
   }
 
   private Object defaultComponent(int index) throws MessageFormatException {
+    AbsentMeans meaning = type.getRecordComponents()[index].getAnnotation(AbsentMeans.class);
+    if (meaning != null) {
+      return meaning.value();
+    }
     Optional<Object> value = codecs[index].defaultValue();
     if (value.isEmpty()) {
       throw new MessageFormatException(
--- a/runtime/src/test/java/org/lentilhinge/runtime/peer/MessageCodecTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/peer/MessageCodecTest.java
@@ -17,6 +17,7 @@
 import org.lentilhinge.identity.AdapterId;
 import org.lentilhinge.identity.AdapterVersion;
 import org.lentilhinge.identity.HostId;
+import org.lentilhinge.limit.RequestLimit;
 import org.lentilhinge.message.PeerMessage;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -50,6 +51,12 @@
   record Newer(int number, OptionalLong moment, List<String> texts, long time)
       implements PeerMessage {}
 
+  record OlderLimit(double perSecond) {}
+
+  record OlderLimits(List<OlderLimit> limits) implements PeerMessage {}
+
+  record Limits(List<RequestLimit> limits) implements PeerMessage {}
+
   record Texts(List<String> texts) implements PeerMessage {}
 
   record Named(HostId host) implements PeerMessage {}
@@ -104,6 +111,15 @@
     assertEquals(codec(Newer.class).decode(bytes), Optional.of(expected));
   }
 
+  // The limit of a host of an earlier build was read as that of an endpoint that can refuse
+  // nothing.
+  @Test
+  public void limitOfOlderSenderStatesNoRefusals() throws MessageFormatException {
+    byte[] bytes = codec(OlderLimits.class).encode(new OlderLimits(List.of(new OlderLimit(40))));
+    Limits expected = new Limits(List.of(RequestLimit.ofRate(40)));
+    assertEquals(codec(Limits.class).decode(bytes), Optional.of(expected));
+  }
+
   @Test
   public void rejectsValuesThatTheRecordRejects() throws Exception {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
