Let an idle owner order at once while no host is silent

An idle owner now compares the order count before its next order only while a host is silent or fell silent in the last 30 s. While all hosts that may run are in contact, none can own the engine without a claim that was heard, so the look protects nothing. The majority, its age and its completeness are asked of HostMajority itself; HostOverlay had grown too long.

--- a/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
@@ -11,7 +11,7 @@
  * run or that fell silent recently, as these may run in another part. Of two halves, the one with
  * the first host by name is the majority. At most one part of a partition is the majority.
  */
-final class HostMajority {
+public final class HostMajority {
 
   /**
    * The time for which a silent host counts as one that may be running in another part of the
@@ -26,6 +26,7 @@
   private OptionalLong startedAtMillis = OptionalLong.empty();
   private boolean held;
   private boolean heldOnce;
+  private boolean reachesAll;
   private long heldAtMillis;
 
   /**
@@ -41,6 +42,7 @@
     this.detector = detector;
     held = seeds.isEmpty();
     heldOnce = held;
+    reachesAll = held;
   }
 
   /** Decides again, after the tick of the membership. */
@@ -81,6 +83,7 @@
     if (nowMillis - startedAtMillis.orElse(nowMillis) < SILENT_HOST_MILLIS) {
       seeds.stream().filter(view::isUnknown).forEach(silent::add);
     }
+    reachesAll = silent.isEmpty();
     return isMajority(reached, silent);
   }
 
@@ -91,13 +94,31 @@
     return difference > 0 || (difference == 0 && reached.contains(all.iterator().next()));
   }
 
-  /** Indicates whether the host has been in the majority since it started. */
-  boolean wasHeld() {
+  /**
+   * Returns whether no other host can be running outside the part of this host.
+   *
+   * @return whether no host is silent or fell silent recently
+   */
+  public boolean isWhole() {
+    return held && reachesAll;
+  }
+
+  /**
+   * Returns whether the host has been in the majority since it started.
+   *
+   * @return whether it knows how many hosts share the limits of the whole deployment
+   */
+  public boolean wasHeld() {
     return heldOnce;
   }
 
-  /** Returns the time since the host was last in the majority, in milliseconds; 0 if it is. */
-  long millisWithout(long nowMillis) {
+  /**
+   * Returns the time since the host was last in the majority.
+   *
+   * @param nowMillis the monotonic time, in milliseconds
+   * @return the time, in milliseconds; 0 if it is in the majority
+   */
+  public long millisWithout(long nowMillis) {
     return held ? 0 : Math.max(1, nowMillis - heldAtMillis);
   }
 }
--- a/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
@@ -428,23 +428,12 @@
   }
 
   /**
-   * Returns the time since this host was last in contact with the majority of the hosts; 0 if it
-   * is.
+   * Returns whether and since when this host is in the majority part of the network.
    *
-   * @param nowMillis the monotonic time, in milliseconds
-   * @return the time, in milliseconds
-   */
-  public long millisWithoutMajority(long nowMillis) {
-    return majority.millisWithout(nowMillis);
-  }
-
-  /**
-   * Returns whether this host has been in contact with the majority since it started.
-   *
-   * @return whether it knows how many hosts share the limits of the whole deployment
+   * @return the decision as of the last tick
    */
-  public boolean hasBeenInMajority() {
-    return majority.wasHeld();
+  public HostMajority majority() {
+    return majority;
   }
 
   /**
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -166,7 +166,7 @@
   }
 
   private boolean trySpendRetry() {
-    return state.hosts().hasBeenInMajority()
+    return state.hosts().majority().wasHeld()
         && state
             .retryBudgetShare(service)
             .trySpend(state.hosts().sharingHostCount(), context.now());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -203,7 +203,7 @@
    * milliseconds; 0 if it is.
    */
   long millisWithoutMajority() {
-    return hosts.millisWithoutMajority(context.now());
+    return hosts.majority().millisWithout(context.now());
   }
 
   boolean isLeaving() {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -346,7 +346,7 @@
         && (!ownershipRules.isInMajority() || scheduler.isUnreachable(now))) {
       return;
     }
-    if (!ownership.isActive(now) && !ownership.isCountConfirmed(now)) {
+    if (!ownership.isActive(now) && ownershipRules.needsReport()) {
       readReport("idle-owner");
       return;
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
@@ -49,6 +49,14 @@
     return state.millisWithoutMajority() == 0;
   }
 
+  /**
+   * Indicates whether an idle owner has to compare the order count before its next order. While all
+   * hosts are in contact, none can own the engine without a claim that this host has heard.
+   */
+  boolean needsReport() {
+    return !state.hosts().majority().isWhole() && !ownership.isCountConfirmed(context.now());
+  }
+
   /** Indicates whether hosts in the majority may be about to take over this idle engine. */
   boolean isToBeRelinquished() {
     return ownership.isOwner()
