Ignore late claims of hosts that leave, as they send no further orders

A claim that a relay passes on after its host has said that it leaves was recorded again, so that the next owner waited 3.7 s from it, not from the last order.

EngineSelector ignores the claims of a leaving host until it is restarted.

--- a/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
@@ -51,6 +51,7 @@
   private final Map<String, ReceivedStatus> statuses = new HashMap<>();
   private final Map<String, UnreportedRequests> unreported = new HashMap<>();
   private final Map<String, Claim> claims = new HashMap<>();
+  private final Set<String> leavingHosts = new HashSet<>();
 
   /** Creates a selector without engine statuses. */
   public EngineSelector() {}
@@ -85,7 +86,7 @@
   }
 
   private void recordClaim(String host, EngineStatus status, long nowMillis) {
-    if (status.owned()) {
+    if (status.owned() && !leavingHosts.contains(host)) {
       claims.put(status.incarnation(), new Claim(host, nowMillis));
     } else {
       claims.computeIfPresent(
@@ -110,11 +111,26 @@
   }
 
   /**
-   * Removes the claims of a host that sends no further orders.
+   * Removes the claims of a host that is shutting down, and ignores those that arrive late.
    *
-   * @param host the host that is shutting down or whose process has ended
+   * @param host the host, which sends no further orders
    */
-  public void removeClaims(String host) {
+  public void recordLeaving(String host) {
+    leavingHosts.add(host);
+    removeClaims(host);
+  }
+
+  /**
+   * Removes the claims of a host whose process has ended.
+   *
+   * @param host the host, which has been restarted
+   */
+  public void recordRestart(String host) {
+    leavingHosts.remove(host);
+    removeClaims(host);
+  }
+
+  private void removeClaims(String host) {
     claims.values().removeIf(claim -> claim.host().equals(host));
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OtherHostsListener.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OtherHostsListener.java
@@ -21,12 +21,12 @@
     // The engines of the leaving host need a new owner. The leaving host still serves earlier
     // permit requests.
     engineSelector.removeHost(host);
-    engineSelector.removeClaims(host);
+    engineSelector.recordLeaving(host);
   }
 
   @Override
   public void onProcessEnded(String host) {
-    engineSelector.removeClaims(host);
+    engineSelector.recordRestart(host);
   }
 
   @Override
