Consider the claims of a host again once its shutdown has ended

The loss of a host ends it now; a claim of a host that fell silent without leaving stays until its process is known to have ended. EngineSelectorTest: the case of the late claim uses the loss, one new case for the silent host.

--- a/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
@@ -126,10 +126,18 @@
    * @param host the host, which has been restarted
    */
   public void recordRestart(String host) {
-    leavingHosts.remove(host);
     removeClaims(host);
   }
 
+  /**
+   * Considers the claims of a host again that was shutting down, as none arrives late any more.
+   *
+   * @param host the host, which was lost or restarted
+   */
+  public void recordEnd(String host) {
+    leavingHosts.remove(host);
+  }
+
   private void removeClaims(String host) {
     claims.values().removeIf(claim -> claim.host().equals(host));
   }
--- a/core/src/test/java/org/lentilhinge/permit/EngineSelectorTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineSelectorTest.java
@@ -120,8 +120,19 @@
     selector.recordLeaving("h");
     selector.updateStatus("h", owned, 1_100);
     assertEquals(selector.claimedElsewhereAtMillis("e/1", "self"), OptionalLong.empty());
-    selector.recordRestart("h");
+    selector.recordEnd("h");
     selector.updateStatus("h", owned, 9_000);
     assertEquals(selector.claimedElsewhereAtMillis("e/1", "self"), OptionalLong.of(9_000));
   }
+
+  @Test
+  public void claimOfLostHostStaysUntilItsProcessHasEnded() {
+    EngineSelector selector = new EngineSelector();
+    selector.updateStatus("h", new EngineStatus("e/1", true, List.of(), 0, 6, 0), 1_000);
+    selector.removeHost("h");
+    selector.recordEnd("h");
+    assertEquals(selector.claimedElsewhereAtMillis("e/1", "self"), OptionalLong.of(1_000));
+    selector.recordRestart("h");
+    assertEquals(selector.claimedElsewhereAtMillis("e/1", "self"), OptionalLong.empty());
+  }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OtherHostsListener.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OtherHostsListener.java
@@ -40,5 +40,6 @@
     schedulers.removeHost(host);
     permits.endHost(host);
     engineSelector.removeHost(host);
+    engineSelector.recordEnd(host);
   }
 }
