--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -113,6 +113,11 @@
     return responseMetadata;
   }
 
+  /** Returns how the connection was used; empty if the request was not sent. */
+  Optional<ConnectionUse> connectionUse() {
+    return connection.map(current -> current.use(forwarder.context().now()));
+  }
+
   long elapsedMillis() {
     return forwarder.context().now() - startedAtMillis;
   }
@@ -336,6 +341,7 @@
     finished = true;
     unreachable = reason.equals(NO_CONNECTION);
     target.recordEnd(outcome, reason, status());
+    connectionUse().ifPresent(use -> forwarder.countForeignResponses(target.name(), use));
     if (outcome == AttemptOutcome.UNKNOWN && brokenOff) {
       recordBroken();
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -34,9 +34,11 @@
 
   private final NetSocketInternal socket;
   private final Consumer<EndpointConnection> idleListener;
+  private final long openedAtMillis;
   private Optional<ResponseHandler> handler = Optional.empty();
   private boolean skippingResponse;
   private int skippedResponses;
+  private int foreignResponses;
   private long skippedBytes;
   private boolean readingResponse;
   private boolean selfDelimited;
@@ -52,10 +54,13 @@
    * Creates a connection on a new socket.
    *
    * @param socket the socket
+   * @param openedAtMillis the time at which the socket was opened, in milliseconds
    * @param idleListener called when the connection is free for another request
    */
-  EndpointConnection(NetSocket socket, Consumer<EndpointConnection> idleListener) {
+  EndpointConnection(
+      NetSocket socket, long openedAtMillis, Consumer<EndpointConnection> idleListener) {
     this.socket = (NetSocketInternal) socket;
+    this.openedAtMillis = openedAtMillis;
     this.idleListener = idleListener;
     HttpDecoderConfig decoderConfig =
         new HttpDecoderConfig()
@@ -87,12 +92,19 @@
     return keepAliveSeconds;
   }
 
+  /** Returns the course of the latest use of the connection until a time in milliseconds. */
+  ConnectionUse use(long nowMillis) {
+    return new ConnectionUse(uses, nowMillis - openedAtMillis, identified, foreignResponses);
+  }
+
   void send(HttpRequest head, ByteBuf body, ResponseHandler responseHandler) {
     handler = Optional.of(responseHandler);
     uses++;
     written = false;
     skippedResponses = 0;
     skippedBytes = 0;
+    foreignResponses = 0;
+    identified = false;
     socket.writeMessage(head);
     socket
         .writeMessage(new DefaultLastHttpContent(body))
@@ -148,6 +160,7 @@
     if (informational || !handler.orElseThrow().matches(response)) {
       skippingResponse = true;
       skippedResponses++;
+      foreignResponses += informational ? 0 : 1;
       if (skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
         fail("endless-responses");
       }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointPool.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointPool.java
@@ -66,7 +66,10 @@
     }
     return client
         .connect(port, address.substring(0, colon))
-        .map(socket -> new EndpointConnection(socket, connection -> release(address, connection)));
+        .map(
+            socket ->
+                new EndpointConnection(
+                    socket, clock.getAsLong(), connection -> release(address, connection)));
   }
 
   /** Keeps a connection that is free for another request, if it may still be used. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -21,6 +21,9 @@
   /** The retry delay for callers of a host without a configuration, in milliseconds. */
   private static final long CONFIGURATION_RETRY_MILLIS = 300;
 
+  /** The prefix of the counters of responses to other requests, one for each endpoint. */
+  static final String FOREIGN_RESPONSES = "forward.foreign.responses";
+
   /** The reason of a request that a stopping host does not serve to its end. */
   static final String STOPPING = "stopping";
 
@@ -115,6 +118,16 @@
     context.metrics().counter(MetricRegistry.name("forward", name)).inc();
   }
 
+  /** Counts the responses to other requests that an endpoint has sent in place of one. */
+  void countForeignResponses(String endpoint, ConnectionUse use) {
+    if (use.foreignResponses() > 0) {
+      context
+          .metrics()
+          .counter(MetricRegistry.name(FOREIGN_RESPONSES, endpoint))
+          .inc(use.foreignResponses());
+    }
+  }
+
   /**
    * Accepts a complete request. A request that arrives before the first read of the store is
    * buffered until that read.
