Attribute responses to requests by the id that they name

Cause: EndpointAttempt.matches took a response without an id for that to the request in flight, on each connection. An endpoint that repeats a former response without the id answered the next request on the connection by it. A response with two ids counted if the first one was right, and one id sent twice on a connection could be answered by the late response to the first.

Class: whose a response is was concluded from what it lacks, or from its place. Now ResponseOwner alone says it, by proof: the response names the request and nothing else (and the connection has carried the id once), or the connection has carried no other request and received no other response. Everything else is dropped, and the connection is not used again. EndpointConnection takes no other word; handlers are not asked any more.

An address that leaves a request with an id unnamed gets each request on a new connection for a minute, as a refusal without an id on a used connection could be anybody's. The store names no requests and answers each once, in order, on connections of its own.

ControlHttpClientTest: connectionIsNotUsedAgainAfterRefusal required a new connection after a refusal and the former one after a success, both without an id. It is replaced by three tests: a repeated response of any status is not taken for the next call, a connection is not used again after any response without an id, and is after one with it.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/AttemptTarget.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/AttemptTarget.java
@@ -12,8 +12,13 @@
   /** Returns the name of the target, for the log. */
   String name();
 
-  /** Returns a connection that may carry the request. */
-  Future<EndpointConnection> connect();
+  /**
+   * Returns a connection that may carry the request.
+   *
+   * @param requestId the id by which the response will be recognized; a request without one gets a
+   *     connection of its own
+   */
+  Future<EndpointConnection> connect(Optional<String> requestId);
 
   /** Returns why the request must not be sent now; empty if it may be. */
   Optional<String> obstacle();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -17,6 +16,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
@@ -35,11 +35,14 @@
   private final Vertx vertx;
   private final EndpointPool pool;
   private final LongSupplier clock;
+  private final ResponseAttribution attribution;
 
-  ControlHttpClient(Vertx vertx, EndpointPool pool, LongSupplier clock) {
+  ControlHttpClient(
+      Vertx vertx, EndpointPool pool, LongSupplier clock, ResponseAttribution attribution) {
     this.vertx = vertx;
     this.pool = pool;
     this.clock = clock;
+    this.attribution = attribution;
   }
 
   /**
@@ -86,7 +89,7 @@
       long timeoutMillis,
       BooleanSupplier mayBeSent) {
     ResponseTimeout timeout = ResponseTimeout.ofTotal(timeoutMillis, clock.getAsLong());
-    return call(method, address, target, headers, body, timeout, mayBeSent, true);
+    return call(method, address, target, headers, body, timeout, mayBeSent);
   }
 
   /**
@@ -101,7 +104,7 @@
    */
   public Future<ControlResponse> read(String address, String target, long silenceMillis) {
     ResponseTimeout timeout = ResponseTimeout.ofSilence(silenceMillis, clock.getAsLong());
-    return call("GET", address, target, Map.of(), Buffer.buffer(), timeout, () -> true, false);
+    return call("GET", address, target, Map.of(), Buffer.buffer(), timeout, () -> true);
   }
 
   private Future<ControlResponse> call(
@@ -111,17 +114,17 @@
       Map<String, String> headers,
       Buffer body,
       ResponseTimeout timeout,
-      BooleanSupplier mayBeSent,
-      boolean toEndpoint) {
+      BooleanSupplier mayBeSent) {
     HttpRequest request =
         new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target);
     request.headers().set(HttpHeaderNames.HOST, address);
     request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
     headers.forEach((name, value) -> request.headers().set(name, value));
+    Optional<String> id = attribution.nameCall(request.headers());
     Promise<ControlResponse> promise = Promise.promise();
     String description = method + ' ' + address + target;
     awaitProgress(timeout, description, promise);
-    pool.acquire(address)
+    pool.acquire(address, id)
         .onFailure(
             failure -> promise.tryFail(new IOException(description + ": " + failure.getMessage())))
         .onSuccess(
@@ -132,9 +135,7 @@
               } else if (!promise.future().isComplete()) {
                 ByteBuf bytes = Unpooled.wrappedBuffer(body.getBytes());
                 connection.send(
-                    request,
-                    bytes,
-                    new ResponseCollector(description, promise, timeout, toEndpoint));
+                    request, bytes, id, new ResponseCollector(description, promise, timeout));
               }
             });
     return promise.future();
@@ -159,34 +160,17 @@
     private final String description;
     private final Promise<ControlResponse> promise;
     private final ResponseTimeout timeout;
-    private final boolean toEndpoint;
     private final Buffer body = Buffer.buffer();
     private int status;
     private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
 
     ResponseCollector(
-        String description,
-        Promise<ControlResponse> promise,
-        ResponseTimeout timeout,
-        boolean toEndpoint) {
-      this.toEndpoint = toEndpoint;
+        String description, Promise<ControlResponse> promise, ResponseTimeout timeout) {
       this.description = description;
       this.promise = promise;
       this.timeout = timeout;
     }
 
-    @Override
-    public boolean matches(HttpResponse response) {
-      return true;
-    }
-
-    @Override
-    public boolean isIdentified(HttpResponse response) {
-      // A response without an id that is sent once more would be taken for that of a later call.
-      // Endpoints in trouble repeat refusals.
-      return !toEndpoint || response.status().codeClass() == HttpStatusClass.SUCCESS;
-    }
-
     @Override
     public void onHead(HttpResponse response) {
       status = response.status().code();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -113,9 +114,11 @@
     return responseMetadata;
   }
 
-  /** Returns how the connection was used; empty if the request was not sent. */
-  Optional<ConnectionUse> connectionUse() {
-    return connection.map(current -> current.use(forwarder.context().now()));
+  /** Returns how the connection was used. */
+  ConnectionUse connectionUse() {
+    return connection
+        .map(current -> current.use(forwarder.context().now()))
+        .orElse(ConnectionUse.NONE);
   }
 
   long elapsedMillis() {
@@ -123,7 +126,10 @@
   }
 
   void start() {
-    target.connect().onComplete(this::onConnected);
+    // The response to a HEAD request cannot be delimited among others.
+    Optional<String> recognizedId =
+        request.requestId().filter(id -> !exchange.request().method().equals(HttpMethod.HEAD));
+    target.connect(recognizedId).onComplete(this::onConnected);
   }
 
   private void onConnected(AsyncResult<EndpointConnection> result) {
@@ -144,7 +150,9 @@
       connection = Optional.of(result.result());
       sent = true;
       target.recordSent();
-      result.result().send(requestHead(), exchange.body().retainedDuplicate(), this);
+      result
+          .result()
+          .send(requestHead(), exchange.body().retainedDuplicate(), request.requestId(), this);
     }
   }
 
@@ -170,22 +178,6 @@
     }
   }
 
-  @Override
-  public boolean matches(HttpResponse httpResponse) {
-    // A response without an id, such as a refusal, can only belong to this connection's request.
-    return echoedId(httpResponse).isEmpty() || isIdentified(httpResponse);
-  }
-
-  @Override
-  public boolean isIdentified(HttpResponse httpResponse) {
-    Optional<String> echoedId = echoedId(httpResponse);
-    return echoedId.isPresent() && echoedId.equals(request.requestId());
-  }
-
-  private Optional<String> echoedId(HttpResponse httpResponse) {
-    return forwarder.headerTranslator().responseMetadata(httpResponse.headers()).requestId();
-  }
-
   @Override
   public void onHead(HttpResponse httpResponse) {
     response = Optional.of(httpResponse);
@@ -341,7 +333,7 @@
     finished = true;
     unreachable = reason.equals(NO_CONNECTION);
     target.recordEnd(outcome, reason, status());
-    connectionUse().ifPresent(use -> forwarder.countForeignResponses(target.name(), use));
+    forwarder.countForeignResponses(target.name(), connectionUse());
     if (outcome == AttemptOutcome.UNKNOWN && brokenOff) {
       recordBroken();
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -1,13 +1,15 @@
 package org.lentilhinge.runtime.forward;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -15,8 +17,10 @@
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
-import java.util.function.Consumer;
+import org.lentilhinge.forward.ResponseOwner;
 
 /** A connection to an endpoint. Carries one request at a time. */
 final class EndpointConnection {
@@ -32,42 +36,65 @@
   /** The length of the bodies of such responses together, in bytes. */
   private static final long MAXIMUM_SKIPPED_BYTES = 1_048_576;
 
+  /** The number of requests to which an endpoint in trouble may still send late responses. */
+  private static final int MAXIMUM_CARRIED_IDS = 64;
+
   private final NetSocketInternal socket;
-  private final Consumer<EndpointConnection> idleListener;
+  private final ResponseAttribution attribution;
+  private final Listener listener;
   private final long openedAtMillis;
+  private final EndpointResponseDecoder decoder;
+  private final Deque<String> carriedIds = new ArrayDeque<>();
   private Optional<ResponseHandler> handler = Optional.empty();
   private boolean skippingResponse;
   private int skippedResponses;
   private int foreignResponses;
+  private int unnamedResponses;
   private long skippedBytes;
   private boolean readingResponse;
   private boolean selfDelimited;
   private boolean keepAlive;
-  private boolean identified;
+  private Optional<String> requestId = Optional.empty();
+  private Optional<ResponseOwner> owner = Optional.empty();
   private boolean written;
   private boolean open = true;
   private boolean reset;
   private int uses;
   private Optional<Long> keepAliveSeconds = Optional.empty();
 
+  /** Learns how a connection may be used further. */
+  interface Listener {
+
+    /** Handles that the connection is free for another request. */
+    void onIdle(EndpointConnection connection);
+
+    /** Handles a response that does not name its request, although that has an id. */
+    void onUnnamedResponse();
+  }
+
   /**
    * Creates a connection on a new socket.
    *
    * @param socket the socket
    * @param openedAtMillis the time at which the socket was opened, in milliseconds
-   * @param idleListener called when the connection is free for another request
+   * @param attribution finds out to which requests responses belong
+   * @param listener learns how the connection may be used further
    */
   EndpointConnection(
-      NetSocket socket, long openedAtMillis, Consumer<EndpointConnection> idleListener) {
+      NetSocket socket, long openedAtMillis, ResponseAttribution attribution, Listener listener) {
     this.socket = (NetSocketInternal) socket;
     this.openedAtMillis = openedAtMillis;
-    this.idleListener = idleListener;
+    this.attribution = attribution;
+    this.listener = listener;
     HttpDecoderConfig decoderConfig =
         new HttpDecoderConfig()
             .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
             .setMaxInitialLineLength(MAXIMUM_HEADER_BYTES);
+    decoder = new EndpointResponseDecoder(decoderConfig);
     ChannelPipeline pipeline = this.socket.channelHandlerContext().pipeline();
-    pipeline.addBefore("handler", "http", new HttpClientCodec(decoderConfig, false, false));
+    pipeline.addBefore("handler", "idle", new IdleReadHandler());
+    pipeline.addBefore("handler", "responses", decoder);
+    pipeline.addBefore("handler", "requests", new HttpRequestEncoder());
     this.socket.messageHandler(this::onMessage);
     this.socket.exceptionHandler(
         failure -> {
@@ -82,9 +109,24 @@
     return open;
   }
 
-  /** Indicates whether the connection has already carried a request. */
-  boolean isUsed() {
-    return uses > 0;
+  /** Closes the connection if bytes arrive while no request is in flight, even a part of a head. */
+  private final class IdleReadHandler extends ChannelInboundHandlerAdapter {
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (handler.isEmpty()) {
+        close();
+      }
+      context.fireChannelRead(message);
+    }
+  }
+
+  /**
+   * Indicates whether a response to a request with an id could be told from late ones to the
+   * requests that the connection has carried.
+   */
+  boolean mayCarry(String id) {
+    return !carriedIds.contains(id);
   }
 
   /** Returns the keep-alive timeout that the endpoint sent for this connection, in seconds. */
@@ -94,17 +136,28 @@
 
   /** Returns the course of the latest use of the connection until a time in milliseconds. */
   ConnectionUse use(long nowMillis) {
-    return new ConnectionUse(uses, nowMillis - openedAtMillis, identified, foreignResponses);
+    return new ConnectionUse(
+        uses, nowMillis - openedAtMillis, owner, foreignResponses, unnamedResponses);
   }
 
-  void send(HttpRequest head, ByteBuf body, ResponseHandler responseHandler) {
+  /**
+   * Sends a request.
+   *
+   * @param id the id that the response names; a request without one needs a new connection
+   * @param responseHandler receives the response
+   */
+  void send(HttpRequest head, ByteBuf body, Optional<String> id, ResponseHandler responseHandler) {
     handler = Optional.of(responseHandler);
+    requestId = id;
+    id.ifPresent(this::recordCarried);
+    decoder.expectResponse(head);
     uses++;
     written = false;
     skippedResponses = 0;
     skippedBytes = 0;
     foreignResponses = 0;
-    identified = false;
+    unnamedResponses = 0;
+    owner = Optional.empty();
     socket.writeMessage(head);
     socket
         .writeMessage(new DefaultLastHttpContent(body))
@@ -117,6 +170,13 @@
             });
   }
 
+  private void recordCarried(String id) {
+    carriedIds.addLast(id);
+    if (carriedIds.size() > MAXIMUM_CARRIED_IDS) {
+      carriedIds.removeFirst();
+    }
+  }
+
   private void onMessage(Object message) {
     try {
       if (!(message instanceof HttpObject part) || !part.decoderResult().isSuccess()) {
@@ -157,10 +217,9 @@
 
   private void begin(HttpResponse response) {
     boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    if (informational || !handler.orElseThrow().matches(response)) {
+    if (informational || !isOwn(response)) {
       skippingResponse = true;
       skippedResponses++;
-      foreignResponses += informational ? 0 : 1;
       if (skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
         fail("endless-responses");
       }
@@ -173,11 +232,33 @@
             || response.status().code() == 204
             || response.status().code() == 304;
     keepAlive = HttpUtil.isKeepAlive(response);
-    identified = handler.orElseThrow().isIdentified(response);
     keepAliveSeconds = KeepAliveHeader.seconds(response.headers());
     handler.ifPresent(current -> current.onHead(response));
   }
 
+  /** Indicates whether a response certainly belongs to the request in flight. */
+  private boolean isOwn(HttpResponse response) {
+    boolean exclusive = uses == 1 && isUndisturbed();
+    ResponseOwner found = attribution.ownerOf(response.headers(), requestId, exclusive);
+    boolean unnamed = found == ResponseOwner.EXCLUSIVE || found == ResponseOwner.UNKNOWN;
+    if (unnamed && requestId.isPresent()) {
+      listener.onUnnamedResponse();
+    }
+    if (found.isRequestInFlight()) {
+      owner = Optional.of(found);
+    } else if (unnamed) {
+      unnamedResponses++;
+    } else {
+      foreignResponses++;
+    }
+    return found.isRequestInFlight();
+  }
+
+  /** Indicates whether all responses during this use belong to the request in flight. */
+  private boolean isUndisturbed() {
+    return foreignResponses == 0 && unnamedResponses == 0;
+  }
+
   private void end() {
     if (reset) {
       fail("reset");
@@ -186,13 +267,18 @@
     readingResponse = false;
     Optional<ResponseHandler> completedHandler = handler;
     handler = Optional.empty();
-    boolean reusable = selfDelimited && keepAlive && identified && written && open;
+    // Endpoints that have sent a response too much may send more of them.
+    boolean attributable =
+        owner.filter(found -> found != ResponseOwner.EXCLUSIVE).isPresent()
+            && isUndisturbed()
+            && !decoder.hasUnreadBytes();
+    boolean reusable = selfDelimited && keepAlive && attributable && written && open;
     if (!reusable) {
       close();
     }
     completedHandler.ifPresent(ResponseHandler::onComplete);
     if (reusable && open) {
-      idleListener.accept(this);
+      listener.onIdle(this);
     }
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointPool.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointPool.java
@@ -20,16 +20,73 @@
   /** The margin by which a connection is dropped before its server closes it, in milliseconds. */
   private static final long CLOSE_MARGIN_MILLIS = 600;
 
+  /**
+   * The time for which an address that does not name requests in its responses gets each request on
+   * a new connection, in milliseconds.
+   */
+  private static final long UNNAMED_EXPIRY_MILLIS = 60_000;
+
   private static final int MAXIMUM_PORT = 65_535;
 
   private final NetClient client;
   private final LongSupplier clock;
+  private final ResponseAttribution attribution;
+  private final Map<String, Long> unnamedUntilMillis = new HashMap<>();
   private final Map<String, Deque<IdleConnection>> idleConnections = new HashMap<>();
 
   private record IdleConnection(EndpointConnection connection, long expiresAtMillis) {}
 
-  EndpointPool(Vertx vertx, int connectTimeoutMillis, LongSupplier clock) {
+  /** Keeps connections to one address. */
+  private final class AddressListener implements EndpointConnection.Listener {
+
+    private final String address;
+
+    AddressListener(String address) {
+      this.address = address;
+    }
+
+    @Override
+    public void onIdle(EndpointConnection connection) {
+      release(address, connection);
+    }
+
+    @Override
+    public void onUnnamedResponse() {
+      recordUnnamedResponse(address);
+    }
+  }
+
+  /** Closes a connection after its first request. */
+  private final class SingleUseListener implements EndpointConnection.Listener {
+
+    private final String address;
+
+    SingleUseListener(String address) {
+      this.address = address;
+    }
+
+    @Override
+    public void onIdle(EndpointConnection connection) {
+      connection.close();
+    }
+
+    @Override
+    public void onUnnamedResponse() {
+      recordUnnamedResponse(address);
+    }
+  }
+
+  /**
+   * Creates a pool.
+   *
+   * @param connectTimeoutMillis the maximum time for opening a connection, in milliseconds
+   * @param clock the monotonic clock, in milliseconds
+   * @param attribution finds out to which requests the responses on the connections belong
+   */
+  EndpointPool(
+      Vertx vertx, int connectTimeoutMillis, LongSupplier clock, ResponseAttribution attribution) {
     this.clock = clock;
+    this.attribution = attribution;
     client =
         vertx.createNetClient(
             new NetClientOptions()
@@ -40,16 +97,23 @@
   }
 
   /** Returns an idle connection to an address if one is still valid, or opens a new connection. */
-  Future<EndpointConnection> acquire(String address) {
-    return takeIdle(address).map(Future::succeededFuture).orElseGet(() -> open(address));
+  Future<EndpointConnection> acquire(String address, Optional<String> requestId) {
+    return takeIdle(address, requestId).map(Future::succeededFuture).orElseGet(() -> open(address));
   }
 
-  /** Returns an idle connection to an address if one is still valid. */
-  Optional<EndpointConnection> takeIdle(String address) {
+  /**
+   * Returns an idle connection to an address if one is still valid.
+   *
+   * @param requestId the id that the connection must not have carried before, if the request has
+   *     one
+   */
+  Optional<EndpointConnection> takeIdle(String address, Optional<String> requestId) {
     Deque<IdleConnection> available = idleConnections.get(address);
     while (available != null && !available.isEmpty()) {
       IdleConnection newest = available.pollLast();
-      if (newest.connection().isOpen() && newest.expiresAtMillis() > clock.getAsLong()) {
+      if (newest.connection().isOpen()
+          && newest.expiresAtMillis() > clock.getAsLong()
+          && requestId.filter(id -> !newest.connection().mayCarry(id)).isEmpty()) {
         return Optional.of(newest.connection());
       }
       newest.connection().close();
@@ -57,8 +121,17 @@
     return Optional.empty();
   }
 
-  /** Opens a new connection to an address. */
+  /** Opens a new connection to an address, which is kept for further requests. */
   Future<EndpointConnection> open(String address) {
+    return open(address, new AddressListener(address));
+  }
+
+  /** Opens a new connection to an address for a single request. */
+  Future<EndpointConnection> openForSingleUse(String address) {
+    return open(address, new SingleUseListener(address));
+  }
+
+  private Future<EndpointConnection> open(String address, EndpointConnection.Listener listener) {
     int colon = address.lastIndexOf(':');
     int port = Integer.parseInt(address.substring(colon + 1));
     if (port <= 0 || port > MAXIMUM_PORT) {
@@ -66,10 +139,16 @@
     }
     return client
         .connect(port, address.substring(0, colon))
-        .map(
-            socket ->
-                new EndpointConnection(
-                    socket, clock.getAsLong(), connection -> release(address, connection)));
+        .map(socket -> new EndpointConnection(socket, clock.getAsLong(), attribution, listener));
+  }
+
+  private void recordUnnamedResponse(String address) {
+    closeIdle(address);
+    unnamedUntilMillis.put(address, clock.getAsLong() + UNNAMED_EXPIRY_MILLIS);
+  }
+
+  private boolean isUnnamed(String address) {
+    return unnamedUntilMillis.getOrDefault(address, 0L) > clock.getAsLong();
   }
 
   /** Keeps a connection that is free for another request, if it may still be used. */
@@ -79,7 +158,7 @@
             .keepAliveSeconds()
             .map(seconds -> seconds * 1_000 - CLOSE_MARGIN_MILLIS)
             .orElse(DEFAULT_IDLE_MILLIS);
-    if (idleMillis <= 0) {
+    if (idleMillis <= 0 || isUnnamed(address)) {
       connection.close();
       return;
     }
@@ -102,10 +181,16 @@
           });
     }
     idleConnections.values().removeIf(Deque::isEmpty);
+    unnamedUntilMillis.values().removeIf(untilMillis -> untilMillis <= now);
   }
 
   /** Closes all idle connections to the address of an endpoint that is no longer registered. */
   void removeAddress(String address) {
+    unnamedUntilMillis.remove(address);
+    closeIdle(address);
+  }
+
+  private void closeIdle(String address) {
     Deque<IdleConnection> removed = idleConnections.remove(address);
     if (removed != null) {
       removed.forEach(entry -> entry.connection().close());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointTarget.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointTarget.java
@@ -58,9 +58,9 @@
   }
 
   @Override
-  public Future<EndpointConnection> connect() {
+  public Future<EndpointConnection> connect(Optional<String> requestId) {
     forwarder.state().scores().recordStart(endpoint.incarnation());
-    return forwarder.paths().connect(endpoint, repeatable);
+    return forwarder.paths().connect(endpoint, requestId, repeatable);
   }
 
   @Override
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -55,7 +55,6 @@
 /** Runs one host of the forwarding path. All parts of the host run on one event loop. */
 public final class ForwardHost {
 
-  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int MAXIMUM_FRAME_BYTES = 1_048_576;
 
   /**
@@ -93,11 +92,7 @@
   private final StatusExchange statuses;
   private final PermitClient permits;
   private final EngineSchedulers schedulers;
-  private final EndpointPool pool;
-
-  /** The connections for the host's own calls, apart from those for the requests of callers. */
-  private final EndpointPool controlPool;
-
+  private final HostConnections connections;
   private final StoreFollower follower;
   private final QuarantineRunner quarantine;
   private final EndpointLimitRunner limits;
@@ -140,9 +135,7 @@
     HostRecord self = createRecord(settings, random.nextLong(), startedAtMillis);
     List<String> seeds = settings.seeds().stream().map(HostNames::ofAddress).toList();
     state = new HostState(context, new HostOverlay(self, seeds, random));
-    pool = new EndpointPool(vertx, CONNECT_TIMEOUT_MILLIS, clocks.monotonicMillis());
-    controlPool = new EndpointPool(vertx, CONNECT_TIMEOUT_MILLIS, clocks.monotonicMillis());
-    ControlHttpClient client = new ControlHttpClient(vertx, controlPool, context.clock());
+    connections = new HostConnections(vertx, context.clock(), platform.headerTranslator(), random);
     peers = createPeerNetwork(scheduler, startedAtMillis, random);
     PeerSender sender = this::send;
     statuses = new StatusExchange(context, state, new StatusRelay(self), sender);
@@ -155,7 +148,8 @@
     limits = new EndpointLimitRunner(context, state, broadcast, sender);
     departures =
         new EndpointDepartureRunner(context, state, new EndpointDepartures(random), broadcast);
-    EngineControl control = platform.control(client, departures::recordResponse);
+    EngineControl control =
+        platform.control(connections.endpointClient(), departures::recordResponse);
     schedulers = new EngineSchedulers(context, control, sender, statuses, state, limits);
     overlay =
         new OverlayRunner(
@@ -165,7 +159,10 @@
             sender,
             new OtherHostsListener(state.engineSelector(), schedulers, permits));
     PublishedStore store =
-        platform.store(client, settings.storeAddress(), new RejectedEntryLog(context)::record);
+        platform.store(
+            connections.storeClient(),
+            settings.storeAddress(),
+            new RejectedEntryLog(context)::record);
     ZoneReader zoneReader = new ZoneReader(context, state, sender);
     follower =
         new StoreFollower(
@@ -209,7 +206,7 @@
     return new PathRunner(
         context,
         state,
-        pool,
+        connections.requestPool(),
         new PathMonitor(random),
         sender,
         broadcast,
@@ -223,7 +220,7 @@
         state,
         new Forwarder.Parts(
             platform.headerTranslator(),
-            pool,
+            connections.requestPool(),
             paths,
             relay,
             permits,
@@ -414,8 +411,7 @@
     quarantine.tick();
     limits.tick();
     departures.tick();
-    pool.closeExpiredConnections();
-    controlPool.closeExpiredConnections();
+    connections.closeExpired();
     callerServer.closeExpiredConnections();
     operationsServers.forEach(CallerServer::closeExpiredConnections);
   }
@@ -472,7 +468,7 @@
         state,
         schedulers,
         departures,
-        List.of(pool, controlPool),
+        connections.endpointPools(),
         this::releaseBufferedRequests);
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -118,13 +118,11 @@
     context.metrics().counter(MetricRegistry.name("forward", name)).inc();
   }
 
-  /** Counts the responses to other requests that an endpoint has sent in place of one. */
+  /** Counts the responses that an endpoint has sent in addition to the one to a request. */
   void countForeignResponses(String endpoint, ConnectionUse use) {
-    if (use.foreignResponses() > 0) {
-      context
-          .metrics()
-          .counter(MetricRegistry.name(FOREIGN_RESPONSES, endpoint))
-          .inc(use.foreignResponses());
+    int dropped = use.foreignResponses() + use.unnamedResponses();
+    if (dropped > 0) {
+      context.metrics().counter(MetricRegistry.name(FOREIGN_RESPONSES, endpoint)).inc(dropped);
     }
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HeaderTranslator.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HeaderTranslator.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 
 /** Translates between the headers on the wire and the internal representation. */
 public interface HeaderTranslator {
@@ -30,6 +31,22 @@
    */
   void prepareRelay(HttpHeaders headers, RelayRequestMetadata metadata);
 
+  /**
+   * Sets the id of a call of this host to an endpoint.
+   *
+   * @param headers the headers of the call
+   * @param requestId the id
+   */
+  void setRequestId(HttpHeaders headers, String requestId);
+
+  /**
+   * Returns the ids of the requests that a response names.
+   *
+   * @param headers the headers of the response
+   * @return the ids, as many as the response contains
+   */
+  List<String> respondedRequestIds(HttpHeaders headers);
+
   /**
    * Reads the headers of an endpoint's response.
    *
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/PathRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/PathRunner.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Promise;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.path.PathAnswer;
@@ -76,23 +77,29 @@
   /**
    * Returns a connection to an endpoint. While the paths are in doubt, a request that must not be
    * repeated gets a new connection: a kept one may hang, and the request on it would be unknown.
+   *
+   * @param requestId the id by which the response will be recognized; a request without one gets a
+   *     connection of its own
+   * @param repeatable whether the request may be sent more than once
    */
-  Future<EndpointConnection> connect(FleetEndpoint endpoint, boolean repeatable) {
-    boolean reuse = repeatable || monitor.state() == PathMonitor.State.OPEN;
-    if (reuse) {
-      return pool.takeIdle(endpoint.address())
-          .map(Future::succeededFuture)
-          .orElseGet(() -> open(endpoint));
+  Future<EndpointConnection> connect(
+      FleetEndpoint endpoint, Optional<String> requestId, boolean repeatable) {
+    String address = endpoint.address();
+    if (requestId.isEmpty()) {
+      return observe(endpoint, pool.openForSingleUse(address));
     }
-    return open(endpoint);
+    boolean reuse = repeatable || monitor.state() == PathMonitor.State.OPEN;
+    Optional<EndpointConnection> idle =
+        reuse ? pool.takeIdle(address, requestId) : Optional.empty();
+    return idle.map(Future::succeededFuture).orElseGet(() -> observe(endpoint, pool.open(address)));
   }
 
-  private Future<EndpointConnection> open(FleetEndpoint endpoint) {
+  /** Records that a connection is being opened, and whether it could be. */
+  private Future<EndpointConnection> observe(
+      FleetEndpoint endpoint, Future<EndpointConnection> connecting) {
     monitor.recordConnecting(endpoint.incarnation(), context.now());
-    return pool.open(endpoint.address())
-        .onComplete(
-            result ->
-                monitor.recordConnect(endpoint.incarnation(), result.succeeded(), context.now()));
+    return connecting.onComplete(
+        result -> monitor.recordConnect(endpoint.incarnation(), result.succeeded(), context.now()));
   }
 
   void recordRequest(FleetEndpoint endpoint) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/RelayTarget.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RelayTarget.java
@@ -33,9 +33,10 @@
   }
 
   @Override
-  public Future<EndpointConnection> connect() {
+  public Future<EndpointConnection> connect(Optional<String> requestId) {
     helper.recordStart();
-    return forwarder.pool().acquire(helper.address());
+    // A host's own responses name no request.
+    return forwarder.pool().openForSingleUse(helper.address());
   }
 
   @Override
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestLog.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestLog.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.AttemptOutcome;
+import org.lentilhinge.forward.ResponseOwner;
 import org.lentilhinge.limit.RequestLimit;
 
 /** Writes the log lines of one request, each with its id. */
@@ -42,6 +43,7 @@
   /** Writes the line of an attempt that has ended. */
   void writeAttempt(
       EndpointAttempt attempt, AttemptOutcome outcome, String reason, List<String> sharedParts) {
+    ConnectionUse use = attempt.connectionUse();
     write(
         "attempt",
         "endpoint",
@@ -59,13 +61,15 @@
         "tookMs",
         attempt.elapsedMillis(),
         "uses",
-        attempt.connectionUse().map(ConnectionUse::uses).orElse(0),
+        use.uses(),
         "connectionMs",
-        attempt.connectionUse().map(ConnectionUse::ageMillis).orElse(0L),
-        "identified",
-        attempt.connectionUse().filter(ConnectionUse::identified).isPresent(),
+        use.ageMillis(),
+        "owner",
+        use.owner().map(ResponseOwner::name).orElse("none"),
         "foreign",
-        attempt.connectionUse().map(ConnectionUse::foreignResponses).orElse(0),
+        use.foreignResponses(),
+        "unnamed",
+        use.unnamedResponses(),
         "parts",
         String.join(",", sharedParts),
         "limit",
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseHandler.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseHandler.java
@@ -9,15 +9,6 @@
  */
 interface ResponseHandler {
 
-  /** Indicates whether a response belongs to the request; other responses are skipped. */
-  boolean matches(HttpResponse response);
-
-  /**
-   * Indicates whether a response certainly is the one to the request. If not, the connection is not
-   * reused, as the endpoint may still send the actual response, or this one again.
-   */
-  boolean isIdentified(HttpResponse response);
-
   /** Handles the status and headers of the response. */
   void onHead(HttpResponse response);
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseMetadata.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseMetadata.java
@@ -10,7 +10,6 @@
  *
  * @param notExecuted whether the endpoint states that it did not execute the request
  * @param signed whether the response has the endpoint's signature
- * @param requestId the id of the request to which the response belongs
  * @param requestLimit the request rate that the endpoint accepts; empty if it is malformed
  * @param leaving whether the endpoint states that it leaves
  * @param retryAfterMillis the time for which a refusing endpoint wants no request from this host,
@@ -20,7 +19,6 @@
 public record ResponseMetadata(
     boolean notExecuted,
     boolean signed,
-    Optional<String> requestId,
     Optional<RequestLimit> requestLimit,
     boolean leaving,
     OptionalLong retryAfterMillis,
@@ -31,7 +29,6 @@
    *
    * @param notExecuted whether the request was not executed
    * @param signed whether the response has a signature
-   * @param requestId the id of the request
    * @param requestLimit the request rate that the endpoint accepts
    * @param leaving whether the endpoint leaves
    * @param retryAfterMillis the time for which the endpoint wants no request, in milliseconds
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ControlHttpClientTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ControlHttpClientTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,7 @@
 import java.util.function.LongSupplier;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests the time limit of the host's own calls over sockets. */
@@ -40,8 +42,10 @@
 
   private Future<ControlResponse> read(ScriptedEndpoint endpoint) {
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    EndpointPool pool = new EndpointPool(vertx, 1_000, clock);
-    return new ControlHttpClient(vertx, pool, clock).read(endpoint.address(), "/", TIMEOUT_MILLIS);
+    OrderedResponses ordered = new OrderedResponses();
+    EndpointPool pool = new EndpointPool(vertx, 1_000, clock, ordered);
+    return new ControlHttpClient(vertx, pool, clock, ordered)
+        .read(endpoint.address(), "/", TIMEOUT_MILLIS);
   }
 
   private void writeParts(NetSocket socket, int left) {
@@ -89,7 +93,11 @@
         new ScriptedEndpoint(vertx, (socket, request) -> requests.incrementAndGet());
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     ControlHttpClient client =
-        new ControlHttpClient(vertx, new EndpointPool(vertx, 1_000, clock), clock);
+        new ControlHttpClient(
+            vertx,
+            new EndpointPool(vertx, 1_000, clock, new OrderedResponses()),
+            clock,
+            new OrderedResponses());
     CompletionException failure =
         expectThrows(
             CompletionException.class,
@@ -111,29 +119,70 @@
     assertEquals(requests.get(), 0);
   }
 
-  // The refusal of an order, sent once more by a faulty server, was taken for a later response.
-  @Test
-  public void connectionIsNotUsedAgainAfterRefusal() {
+  @DataProvider
+  public static Object[][] repeatedStatuses() {
+    return new Object[][] {{200}, {202}, {409}, {412}, {400}};
+  }
+
+  // A response to an order, sent once more by a faulty server, was taken for that to a later call.
+  @Test(dataProvider = "repeatedStatuses")
+  public void repeatedResponseIsNotTakenForTheNextCall(int status) {
+    StringBuilder former = new StringBuilder();
     ScriptedEndpoint endpoint =
         new ScriptedEndpoint(
             vertx,
-            (socket, request) ->
-                socket.write(
-                    request.startsWith("POST")
-                        ? "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
-                        : "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+            (socket, request) -> {
+              String id = id(request);
+              if (former.isEmpty()) {
+                former.append(response(status, id));
+                socket.write(former.toString());
+              } else {
+                socket.write(former + response(404, id));
+              }
+            });
+    assertEquals(statuses(endpoint), List.of(status, 404, 404));
+  }
+
+  // An endpoint that does not name the call could respond to any call on the connection.
+  @Test(dataProvider = "repeatedStatuses")
+  public void connectionIsNotUsedAgainAfterUnnamedResponse(int status) {
+    ScriptedEndpoint endpoint =
+        new ScriptedEndpoint(vertx, (socket, request) -> socket.write(response(status, "")));
+    assertEquals(statuses(endpoint), List.of(status, status, status));
+    assertEquals(endpoint.connections(), 3);
+  }
+
+  @Test
+  public void connectionIsUsedAgainAfterNamedResponse() {
+    ScriptedEndpoint endpoint =
+        new ScriptedEndpoint(vertx, (socket, request) -> socket.write(response(409, id(request))));
+    assertEquals(statuses(endpoint), List.of(409, 409, 409));
+    assertEquals(endpoint.connections(), 1);
+  }
+
+  private static String id(String request) {
+    return request.replaceFirst("(?s).*X-Id: ([^\\r]*).*", "$1");
+  }
+
+  private static String response(int status, String id) {
+    String name = id.isEmpty() ? "" : "X-Id: " + id + "\r\n";
+    return "HTTP/1.1 " + status + " S\r\n" + name + "Content-Length: 0\r\n\r\n";
+  }
+
+  /** Makes three calls in turn and returns the statuses of their responses. */
+  private List<Integer> statuses(ScriptedEndpoint endpoint) {
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    NamedResponses named = new NamedResponses(new PlainHeaderTranslator(), new Random(1));
     ControlHttpClient client =
-        new ControlHttpClient(vertx, new EndpointPool(vertx, 1_000, clock), clock);
+        new ControlHttpClient(vertx, new EndpointPool(vertx, 1_000, clock, named), clock, named);
     CompletableFuture<List<Integer>> statuses = new CompletableFuture<>();
     vertx
         .getOrCreateContext()
         .runOnContext(
             unused ->
                 callInTurn(
-                    client, endpoint, List.of("GET", "POST", "GET"), new ArrayList<>(), statuses));
-    assertEquals(statuses.join(), List.of(200, 409, 200));
-    assertEquals(endpoint.connections(), 2);
+                    client, endpoint, List.of("POST", "POST", "GET"), new ArrayList<>(), statuses));
+    return statuses.join();
   }
 
   /** Makes calls one after the other, each after the connection of the former one is free. */
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -76,7 +76,10 @@
             new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
             new MetricRegistry());
     state = new HostState(context, overlay(settings()));
-    EndpointPool pool = new EndpointPool(vertx, 1_000, context.clock());
+    HeaderTranslator headerTranslator = new PlainHeaderTranslator();
+    EndpointPool pool =
+        new EndpointPool(
+            vertx, 1_000, context.clock(), new NamedResponses(headerTranslator, new Random(1)));
     RelaySelector relays = new RelaySelector(new HostRecord("10.0.0.1", "a", "north", 1, 1, false));
     HostBroadcast broadcast = new HostBroadcast(context, state, relays, (host, message) -> {});
     quarantine =
@@ -96,7 +99,7 @@
             context,
             state,
             new Forwarder.Parts(
-                new PlainHeaderTranslator(),
+                headerTranslator,
                 pool,
                 paths,
                 relay,
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/PlainHeaderTranslator.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/PlainHeaderTranslator.java
@@ -35,12 +35,21 @@
     metadata.resumedRequestId().ifPresent(first -> headers.set("X-Resumes", first));
   }
 
+  @Override
+  public void setRequestId(HttpHeaders headers, String requestId) {
+    headers.set("X-Id", requestId);
+  }
+
+  @Override
+  public List<String> respondedRequestIds(HttpHeaders headers) {
+    return headers.getAll("X-Id");
+  }
+
   @Override
   public ResponseMetadata responseMetadata(HttpHeaders headers) {
     return new ResponseMetadata(
         headers.contains("X-Not-Executed"),
         headers.contains("X-Signature"),
-        Optional.ofNullable(headers.get("X-Id")),
         Optional.of(
             new RequestLimit(
                 Double.parseDouble(headers.get("X-Limit", "Infinity")),
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/RepeatedRefusalTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/RepeatedRefusalTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
@@ -66,8 +67,9 @@
   public void connectionOfRefusedControlCallIsNotReused(String refusal) throws Exception {
     ScriptedEndpoint endpoint =
         new ScriptedEndpoint(vertx, (socket, request) -> socket.write(refusal));
-    EndpointPool pool = new EndpointPool(vertx, 1_000, System::currentTimeMillis);
-    ControlHttpClient client = new ControlHttpClient(vertx, pool, System::currentTimeMillis);
+    ResponseAttribution named = new NamedResponses(new PlainHeaderTranslator(), new Random(1));
+    EndpointPool pool = new EndpointPool(vertx, 1_000, System::currentTimeMillis, named);
+    ControlHttpClient client = new ControlHttpClient(vertx, pool, System::currentTimeMillis, named);
     for (int call = 0; call < 2; call++) {
       client
           .call("GET", endpoint.address(), "/report", Map.of(), Buffer.buffer(), 1_000)
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/TruncatedResponseTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/TruncatedResponseTest.java
@@ -162,7 +162,11 @@
   public void truncatedControlResponseIsRefused() {
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     ControlHttpClient client =
-        new ControlHttpClient(vertx, new EndpointPool(vertx, 1_000, clock), clock);
+        new ControlHttpClient(
+            vertx,
+            new EndpointPool(vertx, 1_000, clock, new OrderedResponses()),
+            clock,
+            new OrderedResponses());
     for (Framing framing : Framing.values()) {
       for (End end : End.values()) {
         for (int length = 0; length <= framing.cuts(end == End.RESET); length++) {
