--- a/core/src/main/java/org/lentilhinge/forward/ResponseOwner.java
+++ b/core/src/main/java/org/lentilhinge/forward/ResponseMatch.java
@@ -6,11 +6,11 @@
 import java.util.stream.Collectors;
 
 /**
- * To which request a response belongs that was received on a connection. A faulty peer may send
- * further responses to former requests, so that neither the order of responses nor the absence of a
- * name proves anything.
+ * How a response that was received on a connection matches the request in flight there. A faulty
+ * peer may send further responses to former requests, so that neither the order of responses nor
+ * the absence of a name proves anything.
  */
-public enum ResponseOwner {
+public enum ResponseMatch {
   /** The request in flight: the response names it, and nothing else. */
   NAMED(true),
   /**
@@ -27,7 +27,7 @@
 
   private final boolean requestInFlight;
 
-  ResponseOwner(boolean requestInFlight) {
+  ResponseMatch(boolean requestInFlight) {
     this.requestInFlight = requestInFlight;
   }
 
@@ -37,20 +37,20 @@
    *
    * @return whether it belongs to the request
    */
-  public boolean isRequestInFlight() {
+  public boolean isMatch() {
     return requestInFlight;
   }
 
   /**
-   * Returns to which request a response belongs.
+   * Returns how a response matches the request in flight.
    *
    * @param requestId the id of the request in flight, if it has one
    * @param namedIds the ids of requests in the response; blank ones name no request
    * @param exclusive whether the connection has carried no other request, and has received no other
    *     response than interim ones
-   * @return the owner
+   * @return the match
    */
-  public static ResponseOwner of(
+  public static ResponseMatch of(
       Optional<String> requestId, Collection<String> namedIds, boolean exclusive) {
     Set<String> named =
         namedIds.stream().filter(id -> !id.isBlank()).collect(Collectors.toUnmodifiableSet());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
@@ -35,14 +35,13 @@
   private final Vertx vertx;
   private final EndpointPool pool;
   private final LongSupplier clock;
-  private final ResponseAttribution attribution;
+  private final ResponseMatcher matcher;
 
-  ControlHttpClient(
-      Vertx vertx, EndpointPool pool, LongSupplier clock, ResponseAttribution attribution) {
+  ControlHttpClient(Vertx vertx, EndpointPool pool, LongSupplier clock, ResponseMatcher matcher) {
     this.vertx = vertx;
     this.pool = pool;
     this.clock = clock;
-    this.attribution = attribution;
+    this.matcher = matcher;
   }
 
   /**
@@ -120,7 +119,7 @@
     request.headers().set(HttpHeaderNames.HOST, address);
     request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
     headers.forEach((name, value) -> request.headers().set(name, value));
-    Optional<String> id = attribution.nameCall(request.headers());
+    Optional<String> id = matcher.nameCall(request.headers());
     Promise<ControlResponse> promise = Promise.promise();
     String description = method + ' ' + address + target;
     awaitProgress(timeout, description, promise);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -20,7 +20,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import org.lentilhinge.forward.ResponseOwner;
+import org.lentilhinge.forward.ResponseMatch;
 
 /** A connection to an endpoint. Carries one request at a time. */
 final class EndpointConnection {
@@ -40,7 +40,7 @@
   private static final int MAXIMUM_CARRIED_IDS = 64;
 
   private final NetSocketInternal socket;
-  private final ResponseAttribution attribution;
+  private final ResponseMatcher matcher;
   private final Listener listener;
   private final long openedAtMillis;
   private final EndpointResponseDecoder decoder;
@@ -55,7 +55,7 @@
   private boolean selfDelimited;
   private boolean keepAlive;
   private Optional<String> requestId = Optional.empty();
-  private Optional<ResponseOwner> owner = Optional.empty();
+  private Optional<ResponseMatch> match = Optional.empty();
   private boolean written;
   private boolean open = true;
   private boolean reset;
@@ -77,14 +77,14 @@
    *
    * @param socket the socket
    * @param openedAtMillis the time at which the socket was opened, in milliseconds
-   * @param attribution finds out to which requests responses belong
+   * @param matcher finds out to which requests responses belong
    * @param listener learns how the connection may be used further
    */
   EndpointConnection(
-      NetSocket socket, long openedAtMillis, ResponseAttribution attribution, Listener listener) {
+      NetSocket socket, long openedAtMillis, ResponseMatcher matcher, Listener listener) {
     this.socket = (NetSocketInternal) socket;
     this.openedAtMillis = openedAtMillis;
-    this.attribution = attribution;
+    this.matcher = matcher;
     this.listener = listener;
     HttpDecoderConfig decoderConfig =
         new HttpDecoderConfig()
@@ -137,7 +137,7 @@
   /** Returns the course of the latest use of the connection until a time in milliseconds. */
   ConnectionUse use(long nowMillis) {
     return new ConnectionUse(
-        uses, nowMillis - openedAtMillis, owner, foreignResponses, unnamedResponses);
+        uses, nowMillis - openedAtMillis, match, foreignResponses, unnamedResponses);
   }
 
   /**
@@ -157,7 +157,7 @@
     skippedBytes = 0;
     foreignResponses = 0;
     unnamedResponses = 0;
-    owner = Optional.empty();
+    match = Optional.empty();
     socket.writeMessage(head);
     socket
         .writeMessage(new DefaultLastHttpContent(body))
@@ -239,19 +239,19 @@
   /** Indicates whether a response certainly belongs to the request in flight. */
   private boolean isOwn(HttpResponse response) {
     boolean exclusive = uses == 1 && isUndisturbed();
-    ResponseOwner found = attribution.ownerOf(response.headers(), requestId, exclusive);
-    boolean unnamed = found == ResponseOwner.EXCLUSIVE || found == ResponseOwner.UNKNOWN;
+    ResponseMatch found = matcher.match(response.headers(), requestId, exclusive);
+    boolean unnamed = found == ResponseMatch.EXCLUSIVE || found == ResponseMatch.UNKNOWN;
     if (unnamed && requestId.isPresent()) {
       listener.onUnnamedResponse();
     }
-    if (found.isRequestInFlight()) {
-      owner = Optional.of(found);
+    if (found.isMatch()) {
+      match = Optional.of(found);
     } else if (unnamed) {
       unnamedResponses++;
     } else {
       foreignResponses++;
     }
-    return found.isRequestInFlight();
+    return found.isMatch();
   }
 
   /** Indicates whether all responses during this use belong to the request in flight. */
@@ -269,7 +269,7 @@
     handler = Optional.empty();
     // Endpoints that have sent a response too much may send more of them.
     boolean attributable =
-        owner.filter(found -> found != ResponseOwner.EXCLUSIVE).isPresent()
+        match.filter(found -> found != ResponseMatch.EXCLUSIVE).isPresent()
             && isUndisturbed()
             && !decoder.hasUnreadBytes();
     boolean reusable = selfDelimited && keepAlive && attributable && written && open;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointPool.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointPool.java
@@ -30,7 +30,7 @@
 
   private final NetClient client;
   private final LongSupplier clock;
-  private final ResponseAttribution attribution;
+  private final ResponseMatcher matcher;
   private final Map<String, Long> unnamedUntilMillis = new HashMap<>();
   private final Map<String, Deque<IdleConnection>> idleConnections = new HashMap<>();
 
@@ -81,12 +81,11 @@
    *
    * @param connectTimeoutMillis the maximum time for opening a connection, in milliseconds
    * @param clock the monotonic clock, in milliseconds
-   * @param attribution finds out to which requests the responses on the connections belong
+   * @param matcher finds out to which requests the responses on the connections belong
    */
-  EndpointPool(
-      Vertx vertx, int connectTimeoutMillis, LongSupplier clock, ResponseAttribution attribution) {
+  EndpointPool(Vertx vertx, int connectTimeoutMillis, LongSupplier clock, ResponseMatcher matcher) {
     this.clock = clock;
-    this.attribution = attribution;
+    this.matcher = matcher;
     client =
         vertx.createNetClient(
             new NetClientOptions()
@@ -139,7 +138,7 @@
     }
     return client
         .connect(port, address.substring(0, colon))
-        .map(socket -> new EndpointConnection(socket, clock.getAsLong(), attribution, listener));
+        .map(socket -> new EndpointConnection(socket, clock.getAsLong(), matcher, listener));
   }
 
   private void recordUnnamedResponse(String address) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostConnections.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostConnections.java
@@ -18,8 +18,8 @@
 
   HostConnections(
       Vertx vertx, LongSupplier clock, HeaderTranslator headerTranslator, Random random) {
-    NamedResponses named = new NamedResponses(headerTranslator, random);
-    OrderedResponses ordered = new OrderedResponses();
+    NamedResponseMatcher named = new NamedResponseMatcher(headerTranslator, random);
+    OrderedResponseMatcher ordered = new OrderedResponseMatcher();
     requestPool = new EndpointPool(vertx, CONNECT_TIMEOUT_MILLIS, clock, named);
     callPool = new EndpointPool(vertx, CONNECT_TIMEOUT_MILLIS, clock, named);
     storePool = new EndpointPool(vertx, CONNECT_TIMEOUT_MILLIS, clock, ordered);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/NamedResponses.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/NamedResponseMatcher.java
@@ -3,15 +3,15 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.Random;
-import org.lentilhinge.forward.ResponseOwner;
+import org.lentilhinge.forward.ResponseMatch;
 
 /** The responses of endpoints and other hosts, which name their requests. */
-final class NamedResponses implements ResponseAttribution {
+final class NamedResponseMatcher implements ResponseMatcher {
 
   private final HeaderTranslator headerTranslator;
   private final Random random;
 
-  NamedResponses(HeaderTranslator headerTranslator, Random random) {
+  NamedResponseMatcher(HeaderTranslator headerTranslator, Random random) {
     this.headerTranslator = headerTranslator;
     this.random = random;
   }
@@ -24,7 +24,7 @@
   }
 
   @Override
-  public ResponseOwner ownerOf(HttpHeaders headers, Optional<String> requestId, boolean exclusive) {
-    return ResponseOwner.of(requestId, headerTranslator.respondedRequestIds(headers), exclusive);
+  public ResponseMatch match(HttpHeaders headers, Optional<String> requestId, boolean exclusive) {
+    return ResponseMatch.of(requestId, headerTranslator.respondedRequestIds(headers), exclusive);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OrderedResponses.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OrderedResponseMatcher.java
@@ -2,10 +2,10 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
-import org.lentilhinge.forward.ResponseOwner;
+import org.lentilhinge.forward.ResponseMatch;
 
 /** The responses of the store, which names no requests and responds to each once, in order. */
-final class OrderedResponses implements ResponseAttribution {
+final class OrderedResponseMatcher implements ResponseMatcher {
 
   @Override
   public Optional<String> nameCall(HttpHeaders headers) {
@@ -13,7 +13,7 @@
   }
 
   @Override
-  public ResponseOwner ownerOf(HttpHeaders headers, Optional<String> requestId, boolean exclusive) {
-    return ResponseOwner.ORDERED;
+  public ResponseMatch match(HttpHeaders headers, Optional<String> requestId, boolean exclusive) {
+    return ResponseMatch.ORDERED;
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestLog.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestLog.java
@@ -5,7 +5,7 @@
 import java.util.OptionalLong;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.AttemptOutcome;
-import org.lentilhinge.forward.ResponseOwner;
+import org.lentilhinge.forward.ResponseMatch;
 import org.lentilhinge.limit.RequestLimit;
 
 /** Writes the log lines of one request, each with its id. */
@@ -64,8 +64,8 @@
         use.uses(),
         "connectionMs",
         use.ageMillis(),
-        "owner",
-        use.owner().map(ResponseOwner::name).orElse("none"),
+        "match",
+        use.match().map(ResponseMatch::name).orElse("none"),
         "foreign",
         use.foreignResponses(),
         "unnamed",
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseAttribution.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseMatcher.java
@@ -2,10 +2,10 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
-import org.lentilhinge.forward.ResponseOwner;
+import org.lentilhinge.forward.ResponseMatch;
 
 /** Finds out to which requests the responses of a kind of peer belong. */
-interface ResponseAttribution {
+interface ResponseMatcher {
 
   /** Names a call of this host in its headers, if the peer names calls in its responses. */
   Optional<String> nameCall(HttpHeaders headers);
@@ -18,5 +18,5 @@
    * @param exclusive whether the connection has carried no other request, and has received no other
    *     response than interim ones
    */
-  ResponseOwner ownerOf(HttpHeaders headers, Optional<String> requestId, boolean exclusive);
+  ResponseMatch match(HttpHeaders headers, Optional<String> requestId, boolean exclusive);
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ControlHttpClientTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ControlHttpClientTest.java
@@ -42,7 +42,7 @@
 
   private Future<ControlResponse> read(ScriptedEndpoint endpoint) {
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    OrderedResponses ordered = new OrderedResponses();
+    OrderedResponseMatcher ordered = new OrderedResponseMatcher();
     EndpointPool pool = new EndpointPool(vertx, 1_000, clock, ordered);
     return new ControlHttpClient(vertx, pool, clock, ordered)
         .read(endpoint.address(), "/", TIMEOUT_MILLIS);
@@ -95,9 +95,9 @@
     ControlHttpClient client =
         new ControlHttpClient(
             vertx,
-            new EndpointPool(vertx, 1_000, clock, new OrderedResponses()),
+            new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher()),
             clock,
-            new OrderedResponses());
+            new OrderedResponseMatcher());
     CompletionException failure =
         expectThrows(
             CompletionException.class,
@@ -172,7 +172,8 @@
   /** Makes three calls in turn and returns the statuses of their responses. */
   private List<Integer> statuses(ScriptedEndpoint endpoint) {
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    NamedResponses named = new NamedResponses(new PlainHeaderTranslator(), new Random(1));
+    NamedResponseMatcher named =
+        new NamedResponseMatcher(new PlainHeaderTranslator(), new Random(1));
     ControlHttpClient client =
         new ControlHttpClient(vertx, new EndpointPool(vertx, 1_000, clock, named), clock, named);
     CompletableFuture<List<Integer>> statuses = new CompletableFuture<>();
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -76,10 +76,7 @@
             new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
             new MetricRegistry());
     state = new HostState(context, overlay(settings()));
-    HeaderTranslator headerTranslator = new PlainHeaderTranslator();
-    EndpointPool pool =
-        new EndpointPool(
-            vertx, 1_000, context.clock(), new NamedResponses(headerTranslator, new Random(1)));
+    EndpointPool pool = createPool();
     RelaySelector relays = new RelaySelector(new HostRecord("10.0.0.1", "a", "north", 1, 1, false));
     HostBroadcast broadcast = new HostBroadcast(context, state, relays, (host, message) -> {});
     quarantine =
@@ -99,7 +96,7 @@
             context,
             state,
             new Forwarder.Parts(
-                headerTranslator,
+                new PlainHeaderTranslator(),
                 pool,
                 paths,
                 relay,
@@ -126,6 +123,12 @@
     port = listening.join();
   }
 
+  private EndpointPool createPool() {
+    NamedResponseMatcher matcher =
+        new NamedResponseMatcher(new PlainHeaderTranslator(), new Random(1));
+    return new EndpointPool(vertx, 1_000, context.clock(), matcher);
+  }
+
   private PathRunner createPaths(EndpointPool pool, HostBroadcast broadcast, HostRelay relay) {
     return new PathRunner(
         context,
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/RepeatedRefusalTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/RepeatedRefusalTest.java
@@ -67,7 +67,7 @@
   public void connectionOfRefusedControlCallIsNotReused(String refusal) throws Exception {
     ScriptedEndpoint endpoint =
         new ScriptedEndpoint(vertx, (socket, request) -> socket.write(refusal));
-    ResponseAttribution named = new NamedResponses(new PlainHeaderTranslator(), new Random(1));
+    ResponseMatcher named = new NamedResponseMatcher(new PlainHeaderTranslator(), new Random(1));
     EndpointPool pool = new EndpointPool(vertx, 1_000, System::currentTimeMillis, named);
     ControlHttpClient client = new ControlHttpClient(vertx, pool, System::currentTimeMillis, named);
     for (int call = 0; call < 2; call++) {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/TruncatedResponseTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/TruncatedResponseTest.java
@@ -164,9 +164,9 @@
     ControlHttpClient client =
         new ControlHttpClient(
             vertx,
-            new EndpointPool(vertx, 1_000, clock, new OrderedResponses()),
+            new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher()),
             clock,
-            new OrderedResponses());
+            new OrderedResponseMatcher());
     for (Framing framing : Framing.values()) {
       for (End end : End.values()) {
         for (int length = 0; length <= framing.cuts(end == End.RESET); length++) {
