Correct the attribution: own calls in order, a success always by its id

Own calls bear no id again. Orders, reports and the store have connections apart, so that a late response can only be taken for one of the same kind; after a refusal a connection is not used again, as before. New: a call whose response is followed by another one in the same read fails, and an address that has sent a response too much gets each call on a new connection for a minute. A repeated success that comes alone, before the actual response, is still taken; the count of orders corrects it.

--- a/core/src/main/java/org/lentilhinge/forward/ResponseMatch.java
+++ b/core/src/main/java/org/lentilhinge/forward/ResponseMatch.java
@@ -6,29 +6,30 @@
 import java.util.stream.Collectors;
 
 /**
- * How a response that was received on a connection matches the request in flight there. A faulty
- * peer may send further responses to former requests, so that neither the order of responses nor
- * the absence of a name proves anything.
+ * How a response on a connection matches the request in flight there. A faulty peer may send
+ * further responses to former requests, so that neither the order of responses nor the absence of a
+ * name proves anything.
  */
 public enum ResponseMatch {
-  /** The request in flight: the response names it, and nothing else. */
+  /** The response belongs to the request: it names the request, and nothing else. */
   NAMED(true),
   /**
-   * The request in flight: the response names no request, but this is the first request of the
-   * connection and its first response.
+   * The response belongs to the request: this is the first request of the connection and its first
+   * response, and either the request has no id or the response is a failure that names no request.
+   * A peer that fails may not have read which request it was.
    */
   EXCLUSIVE(true),
-  /** The request in flight: the peer is known to respond to each request once, in order. */
+  /** The response belongs to the request: the peer names none, and has sent none too much. */
   ORDERED(true),
-  /** Another request, or several: the response names them. */
+  /** The response names another request, or several. */
   OTHER(false),
-  /** Unknown: the response names no request, and the connection has carried several. */
+  /** The response names no request, and could belong to another one. */
   UNKNOWN(false);
 
-  private final boolean requestInFlight;
+  private final boolean match;
 
-  ResponseMatch(boolean requestInFlight) {
-    this.requestInFlight = requestInFlight;
+  ResponseMatch(boolean match) {
+    this.match = match;
   }
 
   /**
@@ -38,7 +39,7 @@
    * @return whether it belongs to the request
    */
   public boolean isMatch() {
-    return requestInFlight;
+    return match;
   }
 
   /**
@@ -46,17 +47,21 @@
    *
    * @param requestId the id of the request in flight, if it has one
    * @param namedIds the ids of requests in the response; blank ones name no request
+   * @param success whether the response states a success
    * @param exclusive whether the connection has carried no other request, and has received no other
    *     response than interim ones
    * @return the match
    */
   public static ResponseMatch of(
-      Optional<String> requestId, Collection<String> namedIds, boolean exclusive) {
+      Optional<String> requestId, Collection<String> namedIds, boolean success, boolean exclusive) {
+    if (requestId.isEmpty()) {
+      return exclusive ? EXCLUSIVE : UNKNOWN;
+    }
     Set<String> named =
         namedIds.stream().filter(id -> !id.isBlank()).collect(Collectors.toUnmodifiableSet());
     if (named.isEmpty()) {
-      return exclusive ? EXCLUSIVE : UNKNOWN;
+      return exclusive && !success ? EXCLUSIVE : UNKNOWN;
     }
-    return requestId.map(Set::of).filter(named::equals).isPresent() ? NAMED : OTHER;
+    return named.equals(Set.of(requestId.get())) ? NAMED : OTHER;
   }
 }
--- a/core/src/test/java/org/lentilhinge/forward/ResponseMatchTest.java
+++ b/core/src/test/java/org/lentilhinge/forward/ResponseMatchTest.java
@@ -10,34 +10,48 @@
 /** Tests which responses belong to the request in flight. */
 public class ResponseMatchTest {
 
+  private static final Optional<String> OWN = Optional.of("own");
+  private static final Optional<String> NO_ID = Optional.empty();
+
   @DataProvider
   public static Object[][] cases() {
     return new Object[][] {
-      {Optional.of("own"), List.of("own"), false, ResponseMatch.NAMED},
-      {Optional.of("own"), List.of("own", "own"), false, ResponseMatch.NAMED},
-      {Optional.of("own"), List.of("own"), true, ResponseMatch.NAMED},
-      {Optional.of("own"), List.of("former"), false, ResponseMatch.OTHER},
-      {Optional.of("own"), List.of("former"), true, ResponseMatch.OTHER},
-      {Optional.of("own"), List.of("own", "former"), false, ResponseMatch.OTHER},
-      {Optional.of("own"), List.of("former", "own"), true, ResponseMatch.OTHER},
-      {Optional.of("own"), List.of("own, former"), true, ResponseMatch.OTHER},
-      {Optional.of("own"), List.of(), false, ResponseMatch.UNKNOWN},
-      {Optional.of("own"), List.of(""), false, ResponseMatch.UNKNOWN},
-      {Optional.of("own"), List.of(), true, ResponseMatch.EXCLUSIVE},
-      {Optional.of("own"), List.of(" "), true, ResponseMatch.EXCLUSIVE},
-      {Optional.empty(), List.of(), true, ResponseMatch.EXCLUSIVE},
-      {Optional.empty(), List.of(), false, ResponseMatch.UNKNOWN},
-      {Optional.empty(), List.of("former"), true, ResponseMatch.OTHER},
+      {OWN, List.of("own"), true, false, ResponseMatch.NAMED},
+      {OWN, List.of("own", "own"), true, false, ResponseMatch.NAMED},
+      {OWN, List.of("own"), false, true, ResponseMatch.NAMED},
+      {OWN, List.of("former"), true, false, ResponseMatch.OTHER},
+      {OWN, List.of("former"), false, true, ResponseMatch.OTHER},
+      {OWN, List.of("own", "former"), true, false, ResponseMatch.OTHER},
+      {OWN, List.of("former", "own"), false, true, ResponseMatch.OTHER},
+      {OWN, List.of("own, former"), false, true, ResponseMatch.OTHER},
+      {OWN, List.of(), true, false, ResponseMatch.UNKNOWN},
+      {OWN, List.of(""), false, false, ResponseMatch.UNKNOWN},
+      {OWN, List.of(), true, true, ResponseMatch.UNKNOWN},
+      {OWN, List.of(), false, true, ResponseMatch.EXCLUSIVE},
+      {OWN, List.of(" "), false, true, ResponseMatch.EXCLUSIVE},
+      {NO_ID, List.of(), true, true, ResponseMatch.EXCLUSIVE},
+      {NO_ID, List.of("generated"), true, true, ResponseMatch.EXCLUSIVE},
+      {NO_ID, List.of(), false, false, ResponseMatch.UNKNOWN},
+      {NO_ID, List.of("former"), true, false, ResponseMatch.UNKNOWN},
     };
   }
 
   @Test(dataProvider = "cases")
   public void matchFollowsFromNamesAndConnection(
-      Optional<String> requestId, List<String> named, boolean exclusive, ResponseMatch expected) {
-    ResponseMatch match = ResponseMatch.of(requestId, named, exclusive);
-    assertEquals(match, expected);
-    boolean requestInFlight =
-        expected == ResponseMatch.NAMED || expected == ResponseMatch.EXCLUSIVE;
-    assertEquals(match.isMatch(), requestInFlight);
+      Optional<String> requestId,
+      List<String> named,
+      boolean success,
+      boolean exclusive,
+      ResponseMatch expected) {
+    assertEquals(ResponseMatch.of(requestId, named, success, exclusive), expected);
+  }
+
+  @Test
+  public void onlyProvedResponsesMatch() {
+    List<ResponseMatch> matches =
+        List.of(ResponseMatch.NAMED, ResponseMatch.EXCLUSIVE, ResponseMatch.ORDERED);
+    for (ResponseMatch match : ResponseMatch.values()) {
+      assertEquals(match.isMatch(), matches.contains(match), match.name());
+    }
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
@@ -35,13 +35,11 @@
   private final Vertx vertx;
   private final EndpointPool pool;
   private final LongSupplier clock;
-  private final ResponseMatcher matcher;
 
-  ControlHttpClient(Vertx vertx, EndpointPool pool, LongSupplier clock, ResponseMatcher matcher) {
+  ControlHttpClient(Vertx vertx, EndpointPool pool, LongSupplier clock) {
     this.vertx = vertx;
     this.pool = pool;
     this.clock = clock;
-    this.matcher = matcher;
   }
 
   /**
@@ -119,11 +117,10 @@
     request.headers().set(HttpHeaderNames.HOST, address);
     request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
     headers.forEach((name, value) -> request.headers().set(name, value));
-    Optional<String> id = matcher.nameCall(request.headers());
     Promise<ControlResponse> promise = Promise.promise();
     String description = method + ' ' + address + target;
     awaitProgress(timeout, description, promise);
-    pool.acquire(address, id)
+    pool.acquire(address)
         .onFailure(
             failure -> promise.tryFail(new IOException(description + ": " + failure.getMessage())))
         .onSuccess(
@@ -134,7 +131,10 @@
               } else if (!promise.future().isComplete()) {
                 ByteBuf bytes = Unpooled.wrappedBuffer(body.getBytes());
                 connection.send(
-                    request, bytes, id, new ResponseCollector(description, promise, timeout));
+                    request,
+                    bytes,
+                    Optional.empty(),
+                    new ResponseCollector(description, promise, timeout));
               }
             });
     return promise.future();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -126,13 +126,21 @@
   }
 
   void start() {
-    // The response to a HEAD request cannot be delimited among others.
-    Optional<String> recognizedId =
-        request.requestId().filter(id -> !exchange.request().method().equals(HttpMethod.HEAD));
-    target.connect(recognizedId).onComplete(this::onConnected);
+    HttpRequest head = requestHead();
+    Optional<String> requestId = sentId(head);
+    // The end of the response to a HEAD request cannot be found behind another response.
+    Optional<String> recognizedId = requestId.filter(id -> !head.method().equals(HttpMethod.HEAD));
+    target.connect(recognizedId).onComplete(result -> onConnected(result, head, requestId));
   }
 
-  private void onConnected(AsyncResult<EndpointConnection> result) {
+  /** Returns the id that the response must name; empty if the request has no single one. */
+  private Optional<String> sentId(HttpRequest head) {
+    List<String> ids = forwarder.headerTranslator().requestIds(head.headers());
+    return ids.size() == 1 && !ids.get(0).isBlank() ? Optional.of(ids.get(0)) : Optional.empty();
+  }
+
+  private void onConnected(
+      AsyncResult<EndpointConnection> result, HttpRequest head, Optional<String> requestId) {
     Optional<String> obstacle = finished ? Optional.empty() : target.obstacle();
     if (finished) {
       if (result.succeeded()) {
@@ -150,9 +158,7 @@
       connection = Optional.of(result.result());
       sent = true;
       target.recordSent();
-      result
-          .result()
-          .send(requestHead(), exchange.body().retainedDuplicate(), request.requestId(), this);
+      result.result().send(head, exchange.body().retainedDuplicate(), requestId, this);
     }
   }
 
@@ -174,6 +180,12 @@
     if (!finished) {
       finished = true;
       target.recordEnd(AttemptOutcome.UNKNOWN, CANCELLED, status());
+      recordConnectionUse();
+      if (sent) {
+        new RequestLog(forwarder.context().log(), request.requestId())
+            .writeAttempt(
+                this, AttemptOutcome.UNKNOWN, CANCELLED, request.quarantine().sharedParts());
+      }
       connection.ifPresent(EndpointConnection::cancel);
     }
   }
@@ -333,13 +345,17 @@
     finished = true;
     unreachable = reason.equals(NO_CONNECTION);
     target.recordEnd(outcome, reason, status());
-    forwarder.countForeignResponses(target.name(), connectionUse());
+    recordConnectionUse();
     if (outcome == AttemptOutcome.UNKNOWN && brokenOff) {
       recordBroken();
     }
     request.onAttemptEnded(this, outcome, reason, events.lastId());
   }
 
+  private void recordConnectionUse() {
+    forwarder.countForeignResponses(target.name(), connectionUse());
+  }
+
   private void recordBroken() {
     boolean atBeginning = eventGroups < PROCEEDING_EVENT_GROUPS;
     target.recordBroken(
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -17,9 +17,9 @@
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.lentilhinge.forward.ResponseMatch;
 
 /** A connection to an endpoint. Carries one request at a time. */
@@ -36,15 +36,15 @@
   /** The length of the bodies of such responses together, in bytes. */
   private static final long MAXIMUM_SKIPPED_BYTES = 1_048_576;
 
-  /** The number of requests to which an endpoint in trouble may still send late responses. */
-  private static final int MAXIMUM_CARRIED_IDS = 64;
+  /** The number of requests on one connection, whose ids are kept. */
+  private static final int MAXIMUM_USES = 1_024;
 
   private final NetSocketInternal socket;
   private final ResponseMatcher matcher;
   private final Listener listener;
   private final long openedAtMillis;
   private final EndpointResponseDecoder decoder;
-  private final Deque<String> carriedIds = new ArrayDeque<>();
+  private final Set<Integer> carriedIdHashes = new HashSet<>();
   private Optional<ResponseHandler> handler = Optional.empty();
   private boolean skippingResponse;
   private int skippedResponses;
@@ -68,8 +68,11 @@
     /** Handles that the connection is free for another request. */
     void onIdle(EndpointConnection connection);
 
-    /** Handles a response that does not name its request, although that has an id. */
-    void onUnnamedResponse();
+    /**
+     * Handles that the peer cannot be relied on to let responses be told apart: one that does not
+     * name its request, although that has an id, or one too much where none names any.
+     */
+    void onUnreliablePeer();
   }
 
   /**
@@ -115,18 +118,26 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
       if (handler.isEmpty()) {
+        recordSurplus();
         close();
       }
       context.fireChannelRead(message);
     }
   }
 
+  /** Records bytes beyond the responses that were expected. */
+  private void recordSurplus() {
+    if (open && match.filter(found -> found == ResponseMatch.ORDERED).isPresent()) {
+      listener.onUnreliablePeer();
+    }
+  }
+
   /**
    * Indicates whether a response to a request with an id could be told from late ones to the
    * requests that the connection has carried.
    */
   boolean mayCarry(String id) {
-    return !carriedIds.contains(id);
+    return !carriedIdHashes.contains(id.hashCode());
   }
 
   /** Returns the keep-alive timeout that the endpoint sent for this connection, in seconds. */
@@ -149,7 +160,7 @@
   void send(HttpRequest head, ByteBuf body, Optional<String> id, ResponseHandler responseHandler) {
     handler = Optional.of(responseHandler);
     requestId = id;
-    id.ifPresent(this::recordCarried);
+    id.ifPresent(carried -> carriedIdHashes.add(carried.hashCode()));
     decoder.expectResponse(head);
     uses++;
     written = false;
@@ -170,13 +181,6 @@
             });
   }
 
-  private void recordCarried(String id) {
-    carriedIds.addLast(id);
-    if (carriedIds.size() > MAXIMUM_CARRIED_IDS) {
-      carriedIds.removeFirst();
-    }
-  }
-
   private void onMessage(Object message) {
     try {
       if (!(message instanceof HttpObject part) || !part.decoderResult().isSuccess()) {
@@ -222,6 +226,9 @@
       skippedResponses++;
       if (skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
         fail("endless-responses");
+      } else if (!informational && !HttpUtil.isKeepAlive(response)) {
+        // No further response follows on the connection.
+        fail("no-own-response");
       }
       return;
     }
@@ -231,7 +238,7 @@
             || HttpUtil.isContentLengthSet(response)
             || response.status().code() == 204
             || response.status().code() == 304;
-    keepAlive = HttpUtil.isKeepAlive(response);
+    keepAlive = HttpUtil.isKeepAlive(response) && matcher.mayReuse(response, match.orElseThrow());
     keepAliveSeconds = KeepAliveHeader.seconds(response.headers());
     handler.ifPresent(current -> current.onHead(response));
   }
@@ -239,14 +246,10 @@
   /** Indicates whether a response certainly belongs to the request in flight. */
   private boolean isOwn(HttpResponse response) {
     boolean exclusive = uses == 1 && isUndisturbed();
-    ResponseMatch found = matcher.match(response.headers(), requestId, exclusive);
-    boolean unnamed = found == ResponseMatch.EXCLUSIVE || found == ResponseMatch.UNKNOWN;
-    if (unnamed && requestId.isPresent()) {
-      listener.onUnnamedResponse();
-    }
+    ResponseMatch found = matcher.match(response, requestId, exclusive);
     if (found.isMatch()) {
       match = Optional.of(found);
-    } else if (unnamed) {
+    } else if (found == ResponseMatch.UNKNOWN) {
       unnamedResponses++;
     } else {
       foreignResponses++;
@@ -264,15 +267,20 @@
       fail("reset");
       return;
     }
+    if (decoder.hasUnreadBytes() && match.filter(ResponseMatch.ORDERED::equals).isPresent()) {
+      // Either of two responses may be the one to the request.
+      recordSurplus();
+      fail("surplus-response");
+      return;
+    }
     readingResponse = false;
     Optional<ResponseHandler> completedHandler = handler;
     handler = Optional.empty();
     // Endpoints that have sent a response too much may send more of them.
-    boolean attributable =
-        match.filter(found -> found != ResponseMatch.EXCLUSIVE).isPresent()
-            && isUndisturbed()
-            && !decoder.hasUnreadBytes();
-    boolean reusable = selfDelimited && keepAlive && attributable && written && open;
+    boolean clean = isUndisturbed() && !decoder.hasUnreadBytes();
+    boolean reusable =
+        selfDelimited && keepAlive && clean && written && open && uses < MAXIMUM_USES;
+    recordUnnamed();
     if (!reusable) {
       close();
     }
@@ -282,8 +290,21 @@
     }
   }
 
+  /** Records a use that ends without a response that names its request, although it has an id. */
+  private void recordUnnamed() {
+    boolean unnamed =
+        unnamedResponses > 0 && match.isEmpty()
+            || match.filter(ResponseMatch.EXCLUSIVE::equals).isPresent();
+    if (unnamed && requestId.isPresent()) {
+      listener.onUnreliablePeer();
+    }
+  }
+
   private void fail(String reason) {
     Optional<ResponseHandler> failedHandler = handler;
+    if (failedHandler.isPresent()) {
+      recordUnnamed();
+    }
     handler = Optional.empty();
     close();
     failedHandler.ifPresent(current -> current.onFailure(reason));
@@ -296,6 +317,9 @@
 
   /** Closes the connection without notifying the handler of a request in flight. */
   void cancel() {
+    if (handler.isPresent()) {
+      recordUnnamed();
+    }
     handler = Optional.empty();
     close();
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointPool.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointPool.java
@@ -21,17 +21,17 @@
   private static final long CLOSE_MARGIN_MILLIS = 600;
 
   /**
-   * The time for which an address that does not name requests in its responses gets each request on
-   * a new connection, in milliseconds.
+   * The time for which an address whose responses could not be told apart gets each request on a
+   * new connection, in milliseconds.
    */
-  private static final long UNNAMED_EXPIRY_MILLIS = 60_000;
+  private static final long UNRELIABLE_EXPIRY_MILLIS = 60_000;
 
   private static final int MAXIMUM_PORT = 65_535;
 
   private final NetClient client;
   private final LongSupplier clock;
   private final ResponseMatcher matcher;
-  private final Map<String, Long> unnamedUntilMillis = new HashMap<>();
+  private final Map<String, Long> unreliableUntilMillis = new HashMap<>();
   private final Map<String, Deque<IdleConnection>> idleConnections = new HashMap<>();
 
   private record IdleConnection(EndpointConnection connection, long expiresAtMillis) {}
@@ -51,8 +51,8 @@
     }
 
     @Override
-    public void onUnnamedResponse() {
-      recordUnnamedResponse(address);
+    public void onUnreliablePeer() {
+      recordUnreliable(address);
     }
   }
 
@@ -71,8 +71,8 @@
     }
 
     @Override
-    public void onUnnamedResponse() {
-      recordUnnamedResponse(address);
+    public void onUnreliablePeer() {
+      recordUnreliable(address);
     }
   }
 
@@ -96,8 +96,10 @@
   }
 
   /** Returns an idle connection to an address if one is still valid, or opens a new connection. */
-  Future<EndpointConnection> acquire(String address, Optional<String> requestId) {
-    return takeIdle(address, requestId).map(Future::succeededFuture).orElseGet(() -> open(address));
+  Future<EndpointConnection> acquire(String address) {
+    return takeIdle(address, Optional.empty())
+        .map(Future::succeededFuture)
+        .orElseGet(() -> open(address));
   }
 
   /**
@@ -141,13 +143,14 @@
         .map(socket -> new EndpointConnection(socket, clock.getAsLong(), matcher, listener));
   }
 
-  private void recordUnnamedResponse(String address) {
+  private void recordUnreliable(String address) {
     closeIdle(address);
-    unnamedUntilMillis.put(address, clock.getAsLong() + UNNAMED_EXPIRY_MILLIS);
+    unreliableUntilMillis.put(address, clock.getAsLong() + UNRELIABLE_EXPIRY_MILLIS);
   }
 
-  private boolean isUnnamed(String address) {
-    return unnamedUntilMillis.getOrDefault(address, 0L) > clock.getAsLong();
+  private boolean isUnreliable(String address) {
+    Long untilMillis = unreliableUntilMillis.get(address);
+    return untilMillis != null && untilMillis > clock.getAsLong();
   }
 
   /** Keeps a connection that is free for another request, if it may still be used. */
@@ -157,7 +160,7 @@
             .keepAliveSeconds()
             .map(seconds -> seconds * 1_000 - CLOSE_MARGIN_MILLIS)
             .orElse(DEFAULT_IDLE_MILLIS);
-    if (idleMillis <= 0 || isUnnamed(address)) {
+    if (idleMillis <= 0 || isUnreliable(address)) {
       connection.close();
       return;
     }
@@ -180,12 +183,12 @@
           });
     }
     idleConnections.values().removeIf(Deque::isEmpty);
-    unnamedUntilMillis.values().removeIf(untilMillis -> untilMillis <= now);
+    unreliableUntilMillis.values().removeIf(untilMillis -> untilMillis <= now);
   }
 
   /** Closes all idle connections to the address of an endpoint that is no longer registered. */
   void removeAddress(String address) {
-    unnamedUntilMillis.remove(address);
+    unreliableUntilMillis.remove(address);
     closeIdle(address);
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -135,7 +135,7 @@
     HostRecord self = createRecord(settings, random.nextLong(), startedAtMillis);
     List<String> seeds = settings.seeds().stream().map(HostNames::ofAddress).toList();
     state = new HostState(context, new HostOverlay(self, seeds, random));
-    connections = new HostConnections(vertx, context.clock(), platform.headerTranslator(), random);
+    connections = new HostConnections(vertx, context.clock(), platform.headerTranslator());
     peers = createPeerNetwork(scheduler, startedAtMillis, random);
     PeerSender sender = this::send;
     statuses = new StatusExchange(context, state, new StatusRelay(self), sender);
@@ -149,7 +149,8 @@
     departures =
         new EndpointDepartureRunner(context, state, new EndpointDepartures(random), broadcast);
     EngineControl control =
-        platform.control(connections.endpointClient(), departures::recordResponse);
+        platform.control(
+            connections.orderClient(), connections.reportClient(), departures::recordResponse);
     schedulers = new EngineSchedulers(context, control, sender, statuses, state, limits);
     overlay =
         new OverlayRunner(
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardPlatform.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardPlatform.java
@@ -27,9 +27,13 @@
   /**
    * Creates a client that controls engines.
    *
-   * @param client makes the calls
+   * @param orderClient sends the orders
+   * @param reportClient reads the reports
    * @param departureListener receives each engine that states in a response that it leaves
    * @return the client
    */
-  EngineControl control(ControlHttpClient client, Consumer<FleetEndpoint> departureListener);
+  EngineControl control(
+      ControlHttpClient orderClient,
+      ControlHttpClient reportClient,
+      Consumer<FleetEndpoint> departureListener);
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HeaderTranslator.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HeaderTranslator.java
@@ -32,20 +32,12 @@
   void prepareRelay(HttpHeaders headers, RelayRequestMetadata metadata);
 
   /**
-   * Sets the id of a call of this host to an endpoint.
+   * Returns the ids of the requests that a request or a response names.
    *
-   * @param headers the headers of the call
-   * @param requestId the id
+   * @param headers the headers of the request or response
+   * @return the ids, as many as it contains
    */
-  void setRequestId(HttpHeaders headers, String requestId);
-
-  /**
-   * Returns the ids of the requests that a response names.
-   *
-   * @param headers the headers of the response
-   * @return the ids, as many as the response contains
-   */
-  List<String> respondedRequestIds(HttpHeaders headers);
+  List<String> requestIds(HttpHeaders headers);
 
   /**
    * Reads the headers of an endpoint's response.
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/NamedResponseMatcher.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/NamedResponseMatcher.java
@@ -1,30 +1,30 @@
 package org.lentilhinge.runtime.forward;
 
-import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
-import java.util.Random;
 import org.lentilhinge.forward.ResponseMatch;
 
-/** The responses of endpoints and other hosts, which name their requests. */
+/** The responses to the requests of callers, which name their requests. */
 final class NamedResponseMatcher implements ResponseMatcher {
 
   private final HeaderTranslator headerTranslator;
-  private final Random random;
 
-  NamedResponseMatcher(HeaderTranslator headerTranslator, Random random) {
+  NamedResponseMatcher(HeaderTranslator headerTranslator) {
     this.headerTranslator = headerTranslator;
-    this.random = random;
   }
 
   @Override
-  public Optional<String> nameCall(HttpHeaders headers) {
-    String id = Long.toHexString(random.nextLong());
-    headerTranslator.setRequestId(headers, id);
-    return Optional.of(id);
+  public ResponseMatch match(HttpResponse response, Optional<String> requestId, boolean exclusive) {
+    return ResponseMatch.of(
+        requestId,
+        headerTranslator.requestIds(response.headers()),
+        response.status().codeClass() == HttpStatusClass.SUCCESS,
+        exclusive);
   }
 
   @Override
-  public ResponseMatch match(HttpHeaders headers, Optional<String> requestId, boolean exclusive) {
-    return ResponseMatch.of(requestId, headerTranslator.respondedRequestIds(headers), exclusive);
+  public boolean mayReuse(HttpResponse response, ResponseMatch match) {
+    return match == ResponseMatch.NAMED;
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseMatcher.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseMatcher.java
@@ -1,22 +1,22 @@
 package org.lentilhinge.runtime.forward;
 
-import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 import org.lentilhinge.forward.ResponseMatch;
 
 /** Finds out to which requests the responses of a kind of peer belong. */
 interface ResponseMatcher {
 
-  /** Names a call of this host in its headers, if the peer names calls in its responses. */
-  Optional<String> nameCall(HttpHeaders headers);
-
   /**
-   * Returns to which request a response belongs.
+   * Returns how a response matches the request in flight.
    *
-   * @param headers the headers of the response
+   * @param response the head of the response
    * @param requestId the id of the request in flight, if it has one
    * @param exclusive whether the connection has carried no other request, and has received no other
    *     response than interim ones
    */
-  ResponseMatch match(HttpHeaders headers, Optional<String> requestId, boolean exclusive);
+  ResponseMatch match(HttpResponse response, Optional<String> requestId, boolean exclusive);
+
+  /** Indicates whether the connection may carry another request after a response that matches. */
+  boolean mayReuse(HttpResponse response, ResponseMatch match);
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ControlHttpClientTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ControlHttpClientTest.java
@@ -11,7 +11,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -19,7 +18,6 @@
 import java.util.function.LongSupplier;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
-import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests the time limit of the host's own calls over sockets. */
@@ -42,10 +40,8 @@
 
   private Future<ControlResponse> read(ScriptedEndpoint endpoint) {
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    OrderedResponseMatcher ordered = new OrderedResponseMatcher();
-    EndpointPool pool = new EndpointPool(vertx, 1_000, clock, ordered);
-    return new ControlHttpClient(vertx, pool, clock, ordered)
-        .read(endpoint.address(), "/", TIMEOUT_MILLIS);
+    EndpointPool pool = new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher());
+    return new ControlHttpClient(vertx, pool, clock).read(endpoint.address(), "/", TIMEOUT_MILLIS);
   }
 
   private void writeParts(NetSocket socket, int left) {
@@ -94,10 +90,7 @@
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     ControlHttpClient client =
         new ControlHttpClient(
-            vertx,
-            new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher()),
-            clock,
-            new OrderedResponseMatcher());
+            vertx, new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher()), clock);
     CompletionException failure =
         expectThrows(
             CompletionException.class,
@@ -119,71 +112,80 @@
     assertEquals(requests.get(), 0);
   }
 
-  @DataProvider
-  public static Object[][] repeatedStatuses() {
-    return new Object[][] {{200}, {202}, {409}, {412}, {400}};
-  }
-
-  // A response to an order, sent once more by a faulty server, was taken for that to a later call.
-  @Test(dataProvider = "repeatedStatuses")
-  public void repeatedResponseIsNotTakenForTheNextCall(int status) {
-    StringBuilder former = new StringBuilder();
+  // The refusal of an order, sent once more by a faulty server, was taken for a later response.
+  @Test
+  public void connectionIsNotUsedAgainAfterRefusal() {
     ScriptedEndpoint endpoint =
         new ScriptedEndpoint(
             vertx,
-            (socket, request) -> {
-              String id = id(request);
-              if (former.isEmpty()) {
-                former.append(response(status, id));
-                socket.write(former.toString());
-              } else {
-                socket.write(former + response(404, id));
-              }
-            });
-    assertEquals(statuses(endpoint), List.of(status, 404, 404));
+            (socket, request) ->
+                socket.write(
+                    request.startsWith("POST")
+                        ? "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+                        : "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+    LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    ControlHttpClient client =
+        new ControlHttpClient(
+            vertx, new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher()), clock);
+    CompletableFuture<List<Integer>> statuses = new CompletableFuture<>();
+    vertx
+        .getOrCreateContext()
+        .runOnContext(
+            unused ->
+                callInTurn(
+                    client, endpoint, List.of("GET", "POST", "GET"), new ArrayList<>(), statuses));
+    assertEquals(statuses.join(), List.of(200, 409, 200));
+    assertEquals(endpoint.connections(), 2);
   }
 
-  // An endpoint that does not name the call could respond to any call on the connection.
-  @Test(dataProvider = "repeatedStatuses")
-  public void connectionIsNotUsedAgainAfterUnnamedResponse(int status) {
+  // The repeated response to a call was taken for the response to the next one.
+  @Test
+  public void callWithResponseTooMuchFails() {
+    String report = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    AtomicInteger requests = new AtomicInteger();
     ScriptedEndpoint endpoint =
-        new ScriptedEndpoint(vertx, (socket, request) -> socket.write(response(status, "")));
-    assertEquals(statuses(endpoint), List.of(status, status, status));
-    assertEquals(endpoint.connections(), 3);
+        new ScriptedEndpoint(
+            vertx,
+            (socket, request) ->
+                socket.write(requests.incrementAndGet() == 2 ? report + report : report));
+    CompletionException failure =
+        expectThrows(CompletionException.class, () -> calls(endpoint).join());
+    assertTrue(failure.getMessage().contains("surplus-response"), failure.getMessage());
+    assertEquals(requests.get(), 2);
   }
 
+  // An endpoint that had repeated a response could do so again on the next connection.
   @Test
-  public void connectionIsUsedAgainAfterNamedResponse() {
+  public void addressThatRepeatsResponsesGetsNewConnections() throws InterruptedException {
+    String report = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     ScriptedEndpoint endpoint =
-        new ScriptedEndpoint(vertx, (socket, request) -> socket.write(response(409, id(request))));
-    assertEquals(statuses(endpoint), List.of(409, 409, 409));
-    assertEquals(endpoint.connections(), 1);
-  }
-
-  private static String id(String request) {
-    return request.replaceFirst("(?s).*X-Id: ([^\\r]*).*", "$1");
-  }
-
-  private static String response(int status, String id) {
-    String name = id.isEmpty() ? "" : "X-Id: " + id + "\r\n";
-    return "HTTP/1.1 " + status + " S\r\n" + name + "Content-Length: 0\r\n\r\n";
+        new ScriptedEndpoint(
+            vertx,
+            (socket, request) -> socket.write(report).onComplete(unused -> socket.write(report)));
+    LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    EndpointPool pool = new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher());
+    ControlHttpClient client = new ControlHttpClient(vertx, pool, clock);
+    for (int call = 0; call < 3; call++) {
+      Future<ControlResponse> response =
+          client.call("GET", endpoint.address(), "/", Map.of(), Buffer.buffer(), TIMEOUT_MILLIS);
+      response.toCompletionStage().toCompletableFuture().exceptionally(failure -> null).join();
+      assertTrue(endpoint.awaitClosed());
+    }
+    assertEquals(endpoint.connections(), 3);
   }
 
-  /** Makes three calls in turn and returns the statuses of their responses. */
-  private List<Integer> statuses(ScriptedEndpoint endpoint) {
+  private CompletableFuture<List<Integer>> calls(ScriptedEndpoint endpoint) {
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    NamedResponseMatcher named =
-        new NamedResponseMatcher(new PlainHeaderTranslator(), new Random(1));
-    ControlHttpClient client =
-        new ControlHttpClient(vertx, new EndpointPool(vertx, 1_000, clock, named), clock, named);
+    EndpointPool pool = new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher());
+    ControlHttpClient client = new ControlHttpClient(vertx, pool, clock);
     CompletableFuture<List<Integer>> statuses = new CompletableFuture<>();
     vertx
         .getOrCreateContext()
         .runOnContext(
             unused ->
                 callInTurn(
-                    client, endpoint, List.of("POST", "POST", "GET"), new ArrayList<>(), statuses));
-    return statuses.join();
+                    client, endpoint, List.of("GET", "GET", "GET"), new ArrayList<>(), statuses));
+    return statuses;
   }
 
   /** Makes calls one after the other, each after the connection of the former one is free. */
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForeignResponseTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForeignResponseTest.java
@@ -22,6 +22,13 @@
 public class ForeignResponseTest {
 
   private static final int CASES = 400;
+
+  /** The time after which an address that answered twice is taken for a sound one again. */
+  private static final long EXPIRY_MILLIS = 61_000;
+
+  private static final String FAILURE =
+      "HTTP/1.1 500 S\r\nX-Signature: s\r\nX-Id: one\r\nContent-Length: 0\r\n\r\n";
+
   private static final List<String> PATHS =
       List.of("/safe/", "/unsafe/", "/stream/", "/resumable/");
   private static final List<Integer> FOREIGN_STATUSES = List.of(200, 200, 200, 404, 429, 500, 503);
@@ -51,9 +58,12 @@
     StutteringEndpoint endpoint = new StutteringEndpoint(vertx);
     try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()))) {
       for (int number = 0; number < CASES; number++) {
+        // A connection that is open already, and an address that has not answered twice yet.
+        fixture.advance(EXPIRY_MILLIS);
         play(fixture, endpoint, randomCase(random, number), "seed " + seed);
       }
     }
+    assertTrue(endpoint.sharedConnections() > CASES / 4, endpoint.sharedConnections() + " shared");
   }
 
   private static Stutter randomCase(Random random, int number) {
@@ -105,6 +115,7 @@
         for (Mark mark : Mark.values()) {
           Stutter stutter =
               new Stutter(number++, path, mark, framing, Moment.BEFORE_OWN, 1, 200, 500);
+          fixture.advance(EXPIRY_MILLIS);
           String own = play(fixture, endpoint, stutter, "");
           assertFalse(own.startsWith("HTTP/1.1 2"), stutter + ": " + own);
           assertFalse(own.startsWith("HTTP/1.1 503"), stutter + ": " + own);
@@ -117,14 +128,13 @@
   @Test
   public void connectionCarriesAnIdOnce() throws IOException {
     String success = ForwardFixture.response("one", "former");
-    String failure = "HTTP/1.1 500 S\r\nX-Signature: s\r\nX-Id: one\r\nContent-Length: 0\r\n\r\n";
     AtomicBoolean former = new AtomicBoolean(true);
     ScriptedEndpoint endpoint =
         new ScriptedEndpoint(
             vertx,
             (socket, request) -> {
-              socket.write(former.getAndSet(false) ? success : failure);
-              socket.handler(unused -> socket.write(success + failure));
+              socket.write(former.getAndSet(false) ? success : FAILURE);
+              socket.handler(unused -> socket.write(success + FAILURE));
             });
     try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()))) {
       String first = fixture.send(ForwardFixture.request("POST", "/unsafe/", "one", ""));
@@ -134,20 +144,97 @@
     }
   }
 
-  // A response to a request without an id can only be recognized on a connection of its own.
-  @Test
-  public void requestWithoutIdHasConnectionOfItsOwn() throws IOException {
+  @DataProvider
+  public static Object[][] unnamedRequests() {
+    return new Object[][] {
+      {"GET", ""},
+      {"GET", "X-Id: \r\n"},
+      {"GET", "X-Id: one\r\nX-Id: two\r\n"},
+      {"GET", "X-Id: one\r\nConnection: X-Id\r\n"},
+      {"HEAD", "X-Id: one\r\n"}
+    };
+  }
+
+  // A response to a request without one id can only be recognized on a connection of its own.
+  @Test(dataProvider = "unnamedRequests")
+  public void requestWithoutOneIdHasConnectionOfItsOwn(String method, String headers)
+      throws IOException {
+    String body = method.equals("HEAD") ? "" : "own";
     ScriptedEndpoint endpoint =
         new ScriptedEndpoint(
             vertx,
             (socket, request) ->
-                socket.write("HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 3\r\n\r\nown"));
+                socket.write(
+                    "HTTP/1.1 200 OK\r\n"
+                        + (method.equals("HEAD") ? headers : "")
+                        + "X-Signature: s\r\nContent-Length: 3\r\n\r\n"
+                        + body));
     try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()))) {
       for (int attempt = 0; attempt < 2; attempt++) {
         String response =
-            fixture.send("GET /safe/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            fixture.send(
+                method + " /safe/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + headers + "\r\n");
         assertTrue(response.startsWith("HTTP/1.1 200"), response);
       }
+      // The address is not taken for one that names no requests.
+      String named = fixture.send(ForwardFixture.request("GET", "/safe/", "three", ""));
+      assertFalse(named.isEmpty());
+    }
+    assertEquals(endpoint.connections(), 3);
+  }
+
+  // A success that names no request was given to the first caller of a connection.
+  @Test
+  public void successMustNameItsRequest() throws IOException {
+    ScriptedEndpoint endpoint =
+        new ScriptedEndpoint(
+            vertx,
+            (socket, request) ->
+                socket.write(
+                    "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 7\r\n\r\nforeign"
+                        + FAILURE));
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()))) {
+      String response = fixture.send(ForwardFixture.request("POST", "/unsafe/", "one", ""));
+      assertTrue(response.startsWith("HTTP/1.1 500"), response);
+    }
+  }
+
+  // A request waited until its deadline for a response that the endpoint would not send any more.
+  @Test
+  public void lastResponseThatNamesNoRequestEndsTheAttempt() throws IOException {
+    ScriptedEndpoint endpoint =
+        new ScriptedEndpoint(
+            vertx,
+            (socket, request) ->
+                socket.write(
+                    request.contains("X-Id: one")
+                        ? ForwardFixture.response("one", "own")
+                        : "HTTP/1.1 503 S\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"));
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()))) {
+      fixture.send(ForwardFixture.request("POST", "/unsafe/", "one", ""));
+      String response = fixture.send(ForwardFixture.request("POST", "/unsafe/", "two", ""));
+      assertTrue(response.startsWith("HTTP/1.1 502"), response);
+    }
+  }
+
+  // One late response caused a new connection for each request of a minute.
+  @Test
+  public void endpointThatNamesTheNextResponseKeepsItsConnections() throws IOException {
+    String unnamed = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 7\r\n\r\nforeign";
+    ScriptedEndpoint endpoint =
+        new ScriptedEndpoint(
+            vertx,
+            (socket, request) -> {
+              String id = request.replaceFirst("(?s).*X-Id: (\\w+).*", "$1");
+              String foreign = id.equals("r1") ? unnamed : "";
+              socket.write(foreign + ForwardFixture.response(id, "own"));
+            });
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()))) {
+      for (int number = 0; number < 10; number++) {
+        String response =
+            fixture.send(ForwardFixture.request("POST", "/unsafe/", "r" + number, ""));
+        assertTrue(response.endsWith("own"), response);
+      }
     }
     assertEquals(endpoint.connections(), 2);
   }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -124,8 +124,7 @@
   }
 
   private EndpointPool createPool() {
-    NamedResponseMatcher matcher =
-        new NamedResponseMatcher(new PlainHeaderTranslator(), new Random(1));
+    ResponseMatcher matcher = new NamedResponseMatcher(new PlainHeaderTranslator());
     return new EndpointPool(vertx, 1_000, context.clock(), matcher);
   }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/LinkedHosts.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/LinkedHosts.java
@@ -188,7 +188,9 @@
 
     @Override
     public EngineControl control(
-        ControlHttpClient client, Consumer<FleetEndpoint> departureListener) {
+        ControlHttpClient orderClient,
+        ControlHttpClient reportClient,
+        Consumer<FleetEndpoint> departureListener) {
       return new NoEngineControl();
     }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/PlainHeaderTranslator.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/PlainHeaderTranslator.java
@@ -36,12 +36,7 @@
   }
 
   @Override
-  public void setRequestId(HttpHeaders headers, String requestId) {
-    headers.set("X-Id", requestId);
-  }
-
-  @Override
-  public List<String> respondedRequestIds(HttpHeaders headers) {
+  public List<String> requestIds(HttpHeaders headers) {
     return headers.getAll("X-Id");
   }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/RepeatedRefusalTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/RepeatedRefusalTest.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
@@ -67,9 +66,9 @@
   public void connectionOfRefusedControlCallIsNotReused(String refusal) throws Exception {
     ScriptedEndpoint endpoint =
         new ScriptedEndpoint(vertx, (socket, request) -> socket.write(refusal));
-    ResponseMatcher named = new NamedResponseMatcher(new PlainHeaderTranslator(), new Random(1));
-    EndpointPool pool = new EndpointPool(vertx, 1_000, System::currentTimeMillis, named);
-    ControlHttpClient client = new ControlHttpClient(vertx, pool, System::currentTimeMillis, named);
+    ResponseMatcher ordered = new OrderedResponseMatcher();
+    EndpointPool pool = new EndpointPool(vertx, 1_000, System::currentTimeMillis, ordered);
+    ControlHttpClient client = new ControlHttpClient(vertx, pool, System::currentTimeMillis);
     for (int call = 0; call < 2; call++) {
       client
           .call("GET", endpoint.address(), "/report", Map.of(), Buffer.buffer(), 1_000)
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/StutteringEndpoint.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StutteringEndpoint.java
@@ -4,6 +4,7 @@
 import io.vertx.core.net.NetSocket;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** An endpoint that writes a further response before the one to the next request. */
 final class StutteringEndpoint {
@@ -14,6 +15,7 @@
   private final Vertx vertx;
   private final ScriptedEndpoint endpoint;
   private final Map<NetSocket, String> unsent = new ConcurrentHashMap<>();
+  private final AtomicInteger sharedConnections = new AtomicInteger();
   private volatile Stutter current;
 
   /** The requests that the further response names. */
@@ -156,6 +158,11 @@
     return endpoint.address();
   }
 
+  /** Returns the number of cases in which both requests came on one connection. */
+  int sharedConnections() {
+    return sharedConnections.get();
+  }
+
   /** Plays a case with the next two requests. */
   void play(Stutter stutter) {
     current = stutter;
@@ -184,7 +191,9 @@
       return;
     }
     String rest = unsent.getOrDefault(socket, "");
-    unsent.remove(socket);
+    if (unsent.remove(socket) != null) {
+      sharedConnections.incrementAndGet();
+    }
     if (stutter.moment() == Moment.WITH_OWN) {
       socket.write(rest + stutter.ownResponse());
     } else {
