--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
@@ -35,14 +35,11 @@
   private final Vertx vertx;
   private final EndpointPool pool;
   private final LongSupplier clock;
-  private final ResponseAttribution attribution;
 
-  ControlHttpClient(
-      Vertx vertx, EndpointPool pool, LongSupplier clock, ResponseAttribution attribution) {
+  ControlHttpClient(Vertx vertx, EndpointPool pool, LongSupplier clock) {
     this.vertx = vertx;
     this.pool = pool;
     this.clock = clock;
-    this.attribution = attribution;
   }
 
   /**
@@ -120,11 +117,10 @@
     request.headers().set(HttpHeaderNames.HOST, address);
     request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
     headers.forEach((name, value) -> request.headers().set(name, value));
-    Optional<String> id = attribution.nameCall(request.headers());
     Promise<ControlResponse> promise = Promise.promise();
     String description = method + ' ' + address + target;
     awaitProgress(timeout, description, promise);
-    pool.acquire(address, id)
+    pool.acquire(address)
         .onFailure(
             failure -> promise.tryFail(new IOException(description + ": " + failure.getMessage())))
         .onSuccess(
@@ -135,7 +131,10 @@
               } else if (!promise.future().isComplete()) {
                 ByteBuf bytes = Unpooled.wrappedBuffer(body.getBytes());
                 connection.send(
-                    request, bytes, id, new ResponseCollector(description, promise, timeout));
+                    request,
+                    bytes,
+                    Optional.empty(),
+                    new ResponseCollector(description, promise, timeout));
               }
             });
     return promise.future();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -17,10 +17,10 @@
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.HashSet;
 import java.util.Optional;
-import org.lentilhinge.forward.ResponseOwner;
+import java.util.Set;
+import org.lentilhinge.forward.ResponseMatch;
 
 /** A connection to an endpoint. Carries one request at a time. */
 final class EndpointConnection {
@@ -36,15 +36,15 @@
   /** The length of the bodies of such responses together, in bytes. */
   private static final long MAXIMUM_SKIPPED_BYTES = 1_048_576;
 
-  /** The number of requests to which an endpoint in trouble may still send late responses. */
-  private static final int MAXIMUM_CARRIED_IDS = 64;
+  /** The number of requests on one connection, whose ids are kept. */
+  private static final int MAXIMUM_USES = 1_024;
 
   private final NetSocketInternal socket;
-  private final ResponseAttribution attribution;
+  private final ResponseMatcher matcher;
   private final Listener listener;
   private final long openedAtMillis;
   private final EndpointResponseDecoder decoder;
-  private final Deque<String> carriedIds = new ArrayDeque<>();
+  private final Set<Integer> carriedIdHashes = new HashSet<>();
   private Optional<ResponseHandler> handler = Optional.empty();
   private boolean skippingResponse;
   private int skippedResponses;
@@ -55,7 +55,7 @@
   private boolean selfDelimited;
   private boolean keepAlive;
   private Optional<String> requestId = Optional.empty();
-  private Optional<ResponseOwner> owner = Optional.empty();
+  private Optional<ResponseMatch> match = Optional.empty();
   private boolean written;
   private boolean open = true;
   private boolean reset;
@@ -68,8 +68,11 @@
     /** Handles that the connection is free for another request. */
     void onIdle(EndpointConnection connection);
 
-    /** Handles a response that does not name its request, although that has an id. */
-    void onUnnamedResponse();
+    /**
+     * Handles that the peer cannot be relied on to let responses be told apart: one that does not
+     * name its request, although that has an id, or one too much where none names any.
+     */
+    void onUnreliablePeer();
   }
 
   /**
@@ -77,14 +80,14 @@
    *
    * @param socket the socket
    * @param openedAtMillis the time at which the socket was opened, in milliseconds
-   * @param attribution finds out to which requests responses belong
+   * @param matcher finds out to which requests responses belong
    * @param listener learns how the connection may be used further
    */
   EndpointConnection(
-      NetSocket socket, long openedAtMillis, ResponseAttribution attribution, Listener listener) {
+      NetSocket socket, long openedAtMillis, ResponseMatcher matcher, Listener listener) {
     this.socket = (NetSocketInternal) socket;
     this.openedAtMillis = openedAtMillis;
-    this.attribution = attribution;
+    this.matcher = matcher;
     this.listener = listener;
     HttpDecoderConfig decoderConfig =
         new HttpDecoderConfig()
@@ -115,18 +118,26 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
       if (handler.isEmpty()) {
+        recordSurplus();
         close();
       }
       context.fireChannelRead(message);
     }
   }
 
+  /** Records bytes beyond the responses that were expected. */
+  private void recordSurplus() {
+    if (open && match.filter(found -> found == ResponseMatch.ORDERED).isPresent()) {
+      listener.onUnreliablePeer();
+    }
+  }
+
   /**
    * Indicates whether a response to a request with an id could be told from late ones to the
    * requests that the connection has carried.
    */
   boolean mayCarry(String id) {
-    return !carriedIds.contains(id);
+    return !carriedIdHashes.contains(id.hashCode());
   }
 
   /** Returns the keep-alive timeout that the endpoint sent for this connection, in seconds. */
@@ -137,7 +148,7 @@
   /** Returns the course of the latest use of the connection until a time in milliseconds. */
   ConnectionUse use(long nowMillis) {
     return new ConnectionUse(
-        uses, nowMillis - openedAtMillis, owner, foreignResponses, unnamedResponses);
+        uses, nowMillis - openedAtMillis, match, foreignResponses, unnamedResponses);
   }
 
   /**
@@ -149,7 +160,7 @@
   void send(HttpRequest head, ByteBuf body, Optional<String> id, ResponseHandler responseHandler) {
     handler = Optional.of(responseHandler);
     requestId = id;
-    id.ifPresent(this::recordCarried);
+    id.ifPresent(carried -> carriedIdHashes.add(carried.hashCode()));
     decoder.expectResponse(head);
     uses++;
     written = false;
@@ -157,7 +168,7 @@
     skippedBytes = 0;
     foreignResponses = 0;
     unnamedResponses = 0;
-    owner = Optional.empty();
+    match = Optional.empty();
     socket.writeMessage(head);
     socket
         .writeMessage(new DefaultLastHttpContent(body))
@@ -170,13 +181,6 @@
             });
   }
 
-  private void recordCarried(String id) {
-    carriedIds.addLast(id);
-    if (carriedIds.size() > MAXIMUM_CARRIED_IDS) {
-      carriedIds.removeFirst();
-    }
-  }
-
   private void onMessage(Object message) {
     try {
       if (!(message instanceof HttpObject part) || !part.decoderResult().isSuccess()) {
@@ -222,6 +226,9 @@
       skippedResponses++;
       if (skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
         fail("endless-responses");
+      } else if (!informational && !HttpUtil.isKeepAlive(response)) {
+        // No further response follows on the connection.
+        fail("no-own-response");
       }
       return;
     }
@@ -231,7 +238,7 @@
             || HttpUtil.isContentLengthSet(response)
             || response.status().code() == 204
             || response.status().code() == 304;
-    keepAlive = HttpUtil.isKeepAlive(response);
+    keepAlive = HttpUtil.isKeepAlive(response) && matcher.mayReuse(response, match.orElseThrow());
     keepAliveSeconds = KeepAliveHeader.seconds(response.headers());
     handler.ifPresent(current -> current.onHead(response));
   }
@@ -239,19 +246,15 @@
   /** Indicates whether a response certainly belongs to the request in flight. */
   private boolean isOwn(HttpResponse response) {
     boolean exclusive = uses == 1 && isUndisturbed();
-    ResponseOwner found = attribution.ownerOf(response.headers(), requestId, exclusive);
-    boolean unnamed = found == ResponseOwner.EXCLUSIVE || found == ResponseOwner.UNKNOWN;
-    if (unnamed && requestId.isPresent()) {
-      listener.onUnnamedResponse();
-    }
-    if (found.isRequestInFlight()) {
-      owner = Optional.of(found);
-    } else if (unnamed) {
+    ResponseMatch found = matcher.match(response, requestId, exclusive);
+    if (found.isMatch()) {
+      match = Optional.of(found);
+    } else if (found == ResponseMatch.UNKNOWN) {
       unnamedResponses++;
     } else {
       foreignResponses++;
     }
-    return found.isRequestInFlight();
+    return found.isMatch();
   }
 
   /** Indicates whether all responses during this use belong to the request in flight. */
@@ -264,15 +267,20 @@
       fail("reset");
       return;
     }
+    if (decoder.hasUnreadBytes() && match.filter(ResponseMatch.ORDERED::equals).isPresent()) {
+      // Either of two responses may be the one to the request.
+      recordSurplus();
+      fail("surplus-response");
+      return;
+    }
     readingResponse = false;
     Optional<ResponseHandler> completedHandler = handler;
     handler = Optional.empty();
     // Endpoints that have sent a response too much may send more of them.
-    boolean attributable =
-        owner.filter(found -> found != ResponseOwner.EXCLUSIVE).isPresent()
-            && isUndisturbed()
-            && !decoder.hasUnreadBytes();
-    boolean reusable = selfDelimited && keepAlive && attributable && written && open;
+    boolean clean = isUndisturbed() && !decoder.hasUnreadBytes();
+    boolean reusable =
+        selfDelimited && keepAlive && clean && written && open && uses < MAXIMUM_USES;
+    recordUnnamed();
     if (!reusable) {
       close();
     }
@@ -282,8 +290,21 @@
     }
   }
 
+  /** Records a use that ends without a response that names its request, although it has an id. */
+  private void recordUnnamed() {
+    boolean unnamed =
+        unnamedResponses > 0 && match.isEmpty()
+            || match.filter(ResponseMatch.EXCLUSIVE::equals).isPresent();
+    if (unnamed && requestId.isPresent()) {
+      listener.onUnreliablePeer();
+    }
+  }
+
   private void fail(String reason) {
     Optional<ResponseHandler> failedHandler = handler;
+    if (failedHandler.isPresent()) {
+      recordUnnamed();
+    }
     handler = Optional.empty();
     close();
     failedHandler.ifPresent(current -> current.onFailure(reason));
@@ -296,6 +317,9 @@
 
   /** Closes the connection without notifying the handler of a request in flight. */
   void cancel() {
+    if (handler.isPresent()) {
+      recordUnnamed();
+    }
     handler = Optional.empty();
     close();
   }
