Answer the last of pipelined requests that end their connection

A caller that sends two requests at once, the second with Connection: close, got no response to the second: the wish to close was recorded when the request was read, so that the response to the first one closed the connection. Now it counts when its request is started.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -121,9 +121,6 @@
     if (content instanceof LastHttpContent) {
       HttpRequest request = incomingRequest.orElseThrow();
       incomingRequest = Optional.empty();
-      if (!HttpUtil.isKeepAlive(request)) {
-        closing = true;
-      }
       pipelined.add(new CallerExchange(this, request, body));
       if (pipelined.size() > MAXIMUM_PIPELINED) {
         close();
@@ -135,8 +132,10 @@
 
   private void startNext() {
     if (currentExchange.isEmpty() && !pipelined.isEmpty() && open) {
-      currentExchange = Optional.of(pipelined.remove());
-      server.startRequest(currentExchange.get());
+      CallerExchange next = pipelined.remove();
+      currentExchange = Optional.of(next);
+      closing |= !HttpUtil.isKeepAlive(next.request());
+      server.startRequest(next);
     }
   }
 
