Send no body in responses to HEAD requests

A host's own response to a HEAD request (404, 502, 503) had a body, which the caller reads as the beginning of the response to its next request on that connection; a response of an endpoint lost its length.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerExchange.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerExchange.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -132,10 +133,15 @@
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
     response.headers().set(headers);
     response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    boolean head = request.method().equals(HttpMethod.HEAD);
+    if (!head || !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    }
     connection.setConnectionHeader(response);
     connection.write(response);
-    connection.write(new DefaultLastHttpContent(content));
+    // The body of a response to HEAD would be read as the next response.
+    connection.write(
+        head ? LastHttpContent.EMPTY_LAST_CONTENT : new DefaultLastHttpContent(content));
     connection.onResponseFinished();
   }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/CallerConnectionTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/CallerConnectionTest.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import io.vertx.core.Vertx;
 import java.io.IOException;
@@ -9,6 +10,7 @@
 import java.util.List;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests over sockets that each response on the connection of a caller belongs to its request. */
@@ -59,6 +61,28 @@
     }
   }
 
+  @DataProvider
+  public static Object[][] headTargets() {
+    return new Object[][] {{"/unknown/", "404"}, {"/safe/", "200"}};
+  }
+
+  // The body of a response to HEAD was read as the beginning of the response to the next request.
+  @Test(dataProvider = "headTargets")
+  public void responseToHeadHasNoBody(String path, String status) throws IOException {
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint().address()))) {
+      String responses =
+          exchange(
+              fixture,
+              request("HEAD", path, "one", "keep-alive")
+                  + request("GET", "/safe/", "two", "close"));
+      assertTrue(responses.startsWith("HTTP/1.1 " + status), responses);
+      String first = responses.substring(0, responses.indexOf("\r\n\r\n"));
+      String second = responses.substring(first.length() + 4);
+      assertTrue(second.startsWith("HTTP/1.1 200"), responses);
+      assertTrue(first.matches("(?is).*content-length: [1-9].*"), first);
+    }
+  }
+
   // A pipelined request that ended the connection lost its response.
   @Test
   public void lastPipelinedRequestIsAnswered() throws IOException {
