Send each call to a plain service on a connection of its own

Cause: HttpServiceClient sent repeatable calls on kept connections, and Vert.x pairs responses with requests by their order. A service that repeats a former response late answered the next call by it. Class: whose a response is was concluded from its place on the connection. Services name no call in their responses, so that the only proof is a connection that has carried no other call. Calls that must not be repeated, bookings among them, had one before.

Why this works: with keep-alive off, Vert.x closes a connection at the end of its first response, and gives it to no call that waits. It costs a connect for each repeatable call; not measured.

--- /dev/null
+++ b/emulator/src/test/java/org/lentilhinge/emulator/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the proxy that repeats responses. */
+package org.lentilhinge.emulator.proxy;
--- a/runtime/src/main/java/org/lentilhinge/runtime/service/HttpServiceClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/service/HttpServiceClient.java
@@ -10,9 +10,11 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * Calls plain services over HTTP/1.1. A call that must not be repeated is sent on a new connection:
- * a pooled connection that the service has closed in the meantime would accept the bytes and
- * needlessly leave the outcome unknown.
+ * Calls plain services over HTTP/1.1. Each call is sent on a connection of its own. Services do not
+ * name in a response the call to which it belongs, so that on a connection that carried another
+ * call a repeated response to that one could not be recognized. Besides, a kept connection that the
+ * service has closed in the meantime would accept the bytes and needlessly leave the outcome
+ * unknown.
  */
 public final class HttpServiceClient implements ServiceClient {
 
@@ -20,8 +22,7 @@
 
   private final ServiceClientSettings settings;
   private final Scheduler scheduler;
-  private final HttpClient pooledClient;
-  private final HttpClient unpooledClient;
+  private final HttpClient client;
 
   /**
    * Creates a client.
@@ -33,16 +34,14 @@
   public HttpServiceClient(Vertx vertx, ServiceClientSettings settings, Scheduler scheduler) {
     this.settings = settings;
     this.scheduler = scheduler;
+    HttpClientOptions options =
+        new HttpClientOptions()
+            .setConnectTimeout(settings.connectTimeoutMillis())
+            .setKeepAlive(false)
+            .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+            .setTcpNoDelay(true);
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(settings.maximumConnections());
-    this.pooledClient = vertx.createHttpClient(options().setKeepAlive(true), pool);
-    this.unpooledClient = vertx.createHttpClient(options().setKeepAlive(false), pool);
-  }
-
-  private HttpClientOptions options() {
-    return new HttpClientOptions()
-        .setConnectTimeout(settings.connectTimeoutMillis())
-        .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
-        .setTcpNoDelay(true);
+    this.client = vertx.createHttpClient(options, pool);
   }
 
   @Override
@@ -51,7 +50,6 @@
         () -> {
           ServiceExchange exchange =
               new ServiceExchange(attempt, mayWrite, settings.maximumResponseBytes());
-          HttpClient client = attempt.repeatable() ? pooledClient : unpooledClient;
           return exchange
               .run(client)
               .timeout(
