Send each attempt and order to an engine on a connection of its own

Cause: EngineConnectionPools kept connections, shared by attempts, orders and reports, and Vert.x pairs responses with requests by their order. Class: whose a response is was concluded from its place on the connection. Only chunks name their attempt; refusals, reports and responses to orders name nothing, so that the only proof for them is a connection that has carried no other request.

Why this works: with keep-alive off, Vert.x closes a connection at the end of its first response. A truthful refusal stays one, as it comes first on its connection. It costs a connect for each attempt, order and report; not measured.

--- a/runtime/src/main/java/org/lentilhinge/runtime/engine/EngineConnectionPools.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/engine/EngineConnectionPools.java
@@ -10,8 +10,11 @@
 import org.lentilhinge.identity.EndpointId;
 
 /**
- * Holds one connection pool for each engine. If one connection times out, the complete pool is
- * replaced, because the network path of its other connections may be broken as well.
+ * Holds one connection pool for each engine. Each connection carries one request only: refusals,
+ * reports and responses to orders do not name the request to which they belong, so that on a
+ * connection that carried another request a repeated response to that one could not be recognized.
+ * If one connection times out, the complete pool is replaced, because the network path of its other
+ * connections may be broken as well.
  */
 final class EngineConnectionPools {
 
@@ -48,6 +51,7 @@
     HttpClientOptions options =
         new HttpClientOptions()
             .setConnectTimeout(settings.connectTimeoutMillis())
+            .setKeepAlive(false)
             .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
             .setTcpNoDelay(true);
     PoolOptions poolOptions = new PoolOptions().setHttp1MaxSize(settings.maximumConnections());
--- a/runtime/src/main/java/org/lentilhinge/runtime/engine/EngineStreamSubscription.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/engine/EngineStreamSubscription.java
@@ -192,7 +192,7 @@
   private void complete() {
     finished = true;
     inactivityTimer.stop();
-    // Reads the body to its end, so that the connection can be reused.
+    // Reads the body to its end, so that the engine does not see the connection closed before.
     eventParser.endHandler(null);
     eventParser.exceptionHandler(ignored -> {});
     eventParser.handler(ignored -> {});
