Read from the platform's services on a connection for each request

Cause: HttpGetClient used kept connections of a client that the configuration service and the list of hosts share, and Vert.x pairs responses with requests by their order. Class: whose a response is was concluded from its place on the connection. The responses name a revision, but no key and no request, so that the only proof is a connection that has carried no other request.

Why this works: each request bears "Connection: close", upon which Vert.x closes the connection at the end of the response, whatever the options of the client that was passed in. Reads are rare and watches long; the cost of the connects was not measured.

--- a/runtime/src/main/java/org/lentilhinge/runtime/platform/HttpGetClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/platform/HttpGetClient.java
@@ -8,13 +8,16 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
- * Sends GET requests to one service of the platform. A request is reset when its subscription is
- * disposed of.
+ * Sends GET requests to one service of the platform, each on a connection of its own: responses do
+ * not name the request to which they belong, so that on a connection that carried another request a
+ * repeated response to that one could not be recognized. A request is reset when its subscription
+ * is disposed of.
  */
 final class HttpGetClient {
 
@@ -58,6 +61,7 @@
             .setHost(host)
             .setPort(port)
             .setURI(path)
+            .putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE)
             .setTimeout(waitMillis + RESPONSE_GRACE_MILLIS);
     client
         .request(options)
