Decide on the majority without building sets at each tick

The core's tests come near the time limit of their process (600 s).

Cause: at each tick of each host HostMajority built a set of the hosts heard recently (two where only some are neighbors), of the reached, of the silent and a sorted one of all hosts, to compare two sizes and, for halves, the first name. Now the two parts are lists that are kept from tick to tick; a host is in one of them at most (live, lost and unknown hosts exclude each other, and a host is not in its own view), so sizes can be compared and names only matter for halves. FailureDetector counts or looks up what was heard, HostView passes on the lost hosts. The decisions are the same.

Existing tests are unchanged and pass.

--- a/core/src/main/java/org/lentilhinge/overlay/FailureDetector.java
+++ b/core/src/main/java/org/lentilhinge/overlay/FailureDetector.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -93,19 +91,36 @@
   }
 
   /**
-   * Returns the hosts that sent a message themselves within the time in which a silent host becomes
+   * Counts the hosts that were heard recently.
+   *
+   * @param nowMillis the monotonic time, in milliseconds
+   * @return the number of hosts for which {@link #isRecentlyHeard} holds
+   */
+  int recentlyHeardCount(long nowMillis) {
+    int count = 0;
+    for (long heardAt : heardAtMillis.values()) {
+      if (isRecent(heardAt, nowMillis)) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  /**
+   * Indicates whether a host sent a message itself within the time in which a silent host becomes
    * suspected.
+   *
+   * @param host the host's name
+   * @param nowMillis the monotonic time, in milliseconds
+   * @return whether it was heard recently
    */
-  Set<String> recentlyHeard(long nowMillis) {
-    long sinceMillis = nowMillis - SILENCE_MILLIS - PROBE_TIMEOUT_MILLIS;
-    Set<String> hosts = new HashSet<>();
-    heardAtMillis.forEach(
-        (host, heardAt) -> {
-          if (heardAt >= sinceMillis) {
-            hosts.add(host);
-          }
-        });
-    return hosts;
+  boolean isRecentlyHeard(String host, long nowMillis) {
+    Long heardAt = heardAtMillis.get(host);
+    return heardAt != null && isRecent(heardAt, nowMillis);
+  }
+
+  private static boolean isRecent(long atMillis, long nowMillis) {
+    return atMillis >= nowMillis - SILENCE_MILLIS - PROBE_TIMEOUT_MILLIS;
   }
 
   /** After a pause of this process, the silence of the others counts from now. */
--- a/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
@@ -1,10 +1,11 @@
 package org.lentilhinge.overlay;
 
+import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
+import java.util.Collections;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.TreeSet;
 
 /**
  * Decides whether a host is in the majority part of the network. All hosts count that are known to
@@ -23,6 +24,12 @@
   private final Set<String> seeds;
   private final HostView view;
   private final FailureDetector detector;
+
+  // The parts of the last tick. A host is in one of them at most, so they need not be sets. They
+  // are filled anew at each tick and kept, because a host may know hundreds of others.
+  private final List<String> reached = new ArrayList<>();
+  private final List<String> silent = new ArrayList<>();
+
   private OptionalLong startedAtMillis = OptionalLong.empty();
   private boolean held;
   private boolean heldOnce;
@@ -66,32 +73,45 @@
    * loss of the others is known only once it was gossiped. A silent neighbor is soon replaced.
    */
   private boolean hearsNeighbors(Collection<String> neighbors, long nowMillis) {
-    return detector.recentlyHeard(nowMillis).size() >= neighbors.size();
+    return detector.recentlyHeardCount(nowMillis) >= neighbors.size();
   }
 
   private boolean reachesMajority(Set<String> disconnected, boolean hearsAll, long nowMillis) {
-    Set<String> heard = detector.recentlyHeard(nowMillis);
-    Set<String> reached = new HashSet<>(Set.of(self));
-    Set<String> silent = new HashSet<>(view.lostSince(nowMillis - SILENT_HOST_MILLIS));
+    reached.clear();
+    silent.clear();
+    reached.add(self);
+    view.forEachLostSince(nowMillis - SILENT_HOST_MILLIS, silent::add);
     for (HostRecord host : view.live()) {
-      boolean isReached =
-          !disconnected.contains(host.host()) && (!hearsAll || heard.contains(host.host()));
       if (!host.leaving()) {
+        boolean isReached =
+            !disconnected.contains(host.host())
+                && (!hearsAll || detector.isRecentlyHeard(host.host(), nowMillis));
         (isReached ? reached : silent).add(host.host());
       }
     }
     if (nowMillis - startedAtMillis.orElse(nowMillis) < SILENT_HOST_MILLIS) {
-      seeds.stream().filter(view::isUnknown).forEach(silent::add);
+      for (String seed : seeds) {
+        if (view.isUnknown(seed)) {
+          silent.add(seed);
+        }
+      }
     }
     reachesAll = silent.isEmpty();
     return isMajority(reached, silent);
   }
 
+  /**
+   * Decides between two parts. Their names are compared only if the parts are of the same size.
+   *
+   * @param reached the distinct hosts of this part, which has at least one
+   * @param silent the distinct hosts that may be running elsewhere; none of them is reached
+   * @return whether the reached hosts are the majority
+   */
   static boolean isMajority(Collection<String> reached, Collection<String> silent) {
-    Set<String> all = new TreeSet<>(reached);
-    all.addAll(silent);
-    int difference = 2 * reached.size() - all.size();
-    return difference > 0 || (difference == 0 && reached.contains(all.iterator().next()));
+    if (reached.size() != silent.size()) {
+      return reached.size() > silent.size();
+    }
+    return Collections.min(reached).compareTo(Collections.min(silent)) < 0;
   }
 
   /**
--- a/core/src/main/java/org/lentilhinge/overlay/HostView.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostView.java
@@ -7,8 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
-import java.util.TreeSet;
+import java.util.function.Consumer;
 import org.lentilhinge.lease.RendezvousHash;
 
 /** The records of the live hosts, and the last versions of those that were lost. */
@@ -71,16 +70,19 @@
     return new ArrayList<>(lost.keySet());
   }
 
-  /** Returns the hosts that were lost after a time and had not announced their shutdown. */
-  Set<String> lostSince(long sinceMillis) {
-    Set<String> hosts = new TreeSet<>();
+  /**
+   * Passes on the hosts that were lost at a time or later and had not announced their shutdown.
+   *
+   * @param sinceMillis the monotonic time, in milliseconds
+   * @param action receives the name of each such host once, in no particular order
+   */
+  void forEachLostSince(long sinceMillis, Consumer<String> action) {
     lost.forEach(
         (host, entry) -> {
           if (!entry.leaving() && entry.lostAtMillis() >= sinceMillis) {
-            hosts.add(host);
+            action.accept(host);
           }
         });
-    return hosts;
   }
 
   /** Returns the digest of the live hosts together with a further record. */
