Sort the peers once for a change, not for each selection

Second cause of the core's long tests, found in stack samples of a whole run: PeerVersions sorted all peers of the other zones (419 in the test) each time it selected one at random: at each announcement of a reader, and twice at each change of the peers while no version is applied. The peers are now sorted when they change. The random draws and the peers are the same.

--- a/core/src/main/java/org/lentilhinge/follow/PeerVersions.java
+++ b/core/src/main/java/org/lentilhinge/follow/PeerVersions.java
@@ -19,6 +19,10 @@
   private Set<HostId> zonePeers = Set.of();
   private Set<HostId> outsidePeers = Set.of();
 
+  // Peers are selected far more often than they change, so they are sorted once for a change.
+  private List<HostId> sortedZonePeers = List.of();
+  private List<HostId> sortedOutsidePeers = List.of();
+
   PeerVersions(RandomGenerator random) {
     this.random = random;
   }
@@ -33,6 +37,8 @@
     added.removeAll(zonePeers);
     zonePeers = zone;
     outsidePeers = outside;
+    sortedZonePeers = zone.stream().sorted().toList();
+    sortedOutsidePeers = outside.stream().sorted().toList();
     Set<HostId> live = new HashSet<>(zone);
     live.addAll(outside);
     reportedVersions.keySet().retainAll(live);
@@ -80,16 +86,16 @@
   }
 
   Optional<HostId> randomZonePeer() {
-    return randomPeer(zonePeers);
+    return randomPeer(sortedZonePeers);
   }
 
   Optional<HostId> randomOutsidePeer() {
-    return randomPeer(outsidePeers);
+    return randomPeer(sortedOutsidePeers);
   }
 
-  private Optional<HostId> randomPeer(Set<HostId> peers) {
+  private Optional<HostId> randomPeer(List<HostId> peers) {
     return peers.isEmpty()
         ? Optional.empty()
-        : peers.stream().sorted().skip(random.nextInt(peers.size())).findFirst();
+        : Optional.of(peers.get(random.nextInt(peers.size())));
   }
 }
