--- a/stutter/build.sh
+++ b/stutter/build.sh
@@ -1,6 +1,8 @@
 #!/bin/sh
-# Builds the case and its stand-ins.
+# Builds the case, with the stand-ins of the review that it shares.
 set -eu
 cd "$(dirname "$0")"
 mkdir -p "${CLASSES:-target/classes}"
-javac --release 17 -d "${CLASSES:-target/classes}" ./*.java
+standin=../review/standin
+javac --release 17 -d "${CLASSES:-target/classes}" ./*.java \
+  "$standin/Http.java" "$standin/HttpMessage.java" "$standin/PeerProxy.java" "$standin/StoreServer.java"
