End an attempt at a refusal that could be its last response

A refusal (marked as not executed, or 421) without an id, on a connection that has carried other requests, was dropped like any other unnamed response, and its request waited until its deadline.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -220,41 +220,49 @@
   }
 
   private void begin(HttpResponse response) {
-    boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    if (informational || !isOwn(response)) {
-      skippingResponse = true;
-      skippedResponses++;
-      if (skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
-        fail("endless-responses");
-      } else if (!informational && !HttpUtil.isKeepAlive(response)) {
-        // No further response follows on the connection.
+    if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      skip();
+      return;
+    }
+    ResponseMatch found = match(response);
+    if (!found.isMatch()) {
+      skip();
+      if (matcher.mayBeFinal(response, found)) {
         fail("no-own-response");
       }
       return;
     }
+    match = Optional.of(found);
     readingResponse = true;
     selfDelimited =
         HttpUtil.isTransferEncodingChunked(response)
             || HttpUtil.isContentLengthSet(response)
             || response.status().code() == 204
             || response.status().code() == 304;
-    keepAlive = HttpUtil.isKeepAlive(response) && matcher.mayReuse(response, match.orElseThrow());
+    keepAlive = HttpUtil.isKeepAlive(response) && matcher.mayReuse(response, found);
     keepAliveSeconds = KeepAliveHeader.seconds(response.headers());
     handler.ifPresent(current -> current.onHead(response));
   }
 
-  /** Indicates whether a response certainly belongs to the request in flight. */
-  private boolean isOwn(HttpResponse response) {
+  /** Skips a response, the beginning of which was received. */
+  private void skip() {
+    skippingResponse = true;
+    skippedResponses++;
+    if (skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
+      fail("endless-responses");
+    }
+  }
+
+  /** Finds out whether a response belongs to the request in flight, and counts it if not. */
+  private ResponseMatch match(HttpResponse response) {
     boolean exclusive = uses == 1 && isUndisturbed();
     ResponseMatch found = matcher.match(response, requestId, exclusive);
-    if (found.isMatch()) {
-      match = Optional.of(found);
-    } else if (found == ResponseMatch.UNKNOWN) {
+    if (found == ResponseMatch.UNKNOWN) {
       unnamedResponses++;
-    } else {
+    } else if (found == ResponseMatch.OTHER) {
       foreignResponses++;
     }
-    return found.isMatch();
+    return found;
   }
 
   /** Indicates whether all responses during this use belong to the request in flight. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/NamedResponseMatcher.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/NamedResponseMatcher.java
@@ -2,12 +2,15 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
 import org.lentilhinge.forward.ResponseMatch;
 
 /** The responses to the requests of callers, which name their requests. */
 final class NamedResponseMatcher implements ResponseMatcher {
 
+  private static final int MISDIRECTED = 421;
+
   private final HeaderTranslator headerTranslator;
 
   NamedResponseMatcher(HeaderTranslator headerTranslator) {
@@ -23,6 +26,15 @@
         exclusive);
   }
 
+  @Override
+  public boolean mayBeFinal(HttpResponse response, ResponseMatch match) {
+    // Endpoints may refuse a request without naming it.
+    boolean refusal =
+        response.status().code() == MISDIRECTED
+            || headerTranslator.responseMetadata(response.headers()).notExecuted();
+    return !HttpUtil.isKeepAlive(response) || match == ResponseMatch.UNKNOWN && refusal;
+  }
+
   @Override
   public boolean mayReuse(HttpResponse response, ResponseMatch match) {
     return match == ResponseMatch.NAMED;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OrderedResponseMatcher.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OrderedResponseMatcher.java
@@ -16,6 +16,11 @@
     return ResponseMatch.ORDERED;
   }
 
+  @Override
+  public boolean mayBeFinal(HttpResponse response, ResponseMatch match) {
+    return false;
+  }
+
   @Override
   public boolean mayReuse(HttpResponse response, ResponseMatch match) {
     return response.status().codeClass() == HttpStatusClass.SUCCESS;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseMatcher.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseMatcher.java
@@ -17,6 +17,12 @@
    */
   ResponseMatch match(HttpResponse response, Optional<String> requestId, boolean exclusive);
 
+  /**
+   * Indicates whether a response that does not match could be the last one on the connection that
+   * the peer sends for the request, so that waiting for another one could be in vain.
+   */
+  boolean mayBeFinal(HttpResponse response, ResponseMatch match);
+
   /** Indicates whether the connection may carry another request after a response that matches. */
   boolean mayReuse(HttpResponse response, ResponseMatch match);
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/StutteringEndpoint.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StutteringEndpoint.java
@@ -82,6 +82,12 @@
       int foreignStatus,
       int ownStatus) {
 
+    /** Indicates whether the further response could be a refusal of the next request. */
+    boolean isUnnamedRefusal() {
+      boolean unnamed = mark == Mark.NONE || mark == Mark.EMPTY;
+      return unnamed && (foreignStatus == 429 || foreignStatus == 503);
+    }
+
     String formerId() {
       return "former" + number;
     }
