Log the addresses whose connections carry a single request each

Now address-unreliable names the address and what the connections carry, once for each mark. Ruled out: a line for each surplus byte, which a stuttering endpoint would make many.

The two listeners of EndpointPool differed in one line and are one class, and HostConnections takes the host's context, which holds its log.

Conclusion: the decision can be found from the log; bytes that arrive on an idle connection for requests still leave no line.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointPool.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointPool.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /** A pool of idle connections for each address. Connections that may be stale are not reused. */
@@ -31,43 +32,30 @@
   private final NetClient client;
   private final LongSupplier clock;
   private final ResponseMatcher matcher;
+  private final Consumer<String> unreliableListener;
   private final Map<String, Long> unreliableUntilMillis = new HashMap<>();
   private final Map<String, Deque<IdleConnection>> idleConnections = new HashMap<>();
 
   private record IdleConnection(EndpointConnection connection, long expiresAtMillis) {}
 
-  /** Keeps connections to one address. */
+  /** Learns how a connection to one address may be used further. */
   private final class AddressListener implements EndpointConnection.Listener {
 
     private final String address;
+    private final boolean kept;
 
-    AddressListener(String address) {
+    AddressListener(String address, boolean kept) {
       this.address = address;
+      this.kept = kept;
     }
 
     @Override
     public void onIdle(EndpointConnection connection) {
-      release(address, connection);
-    }
-
-    @Override
-    public void onUnreliablePeer() {
-      recordUnreliable(address);
-    }
-  }
-
-  /** Closes a connection after its first request. */
-  private final class SingleUseListener implements EndpointConnection.Listener {
-
-    private final String address;
-
-    SingleUseListener(String address) {
-      this.address = address;
-    }
-
-    @Override
-    public void onIdle(EndpointConnection connection) {
-      connection.close();
+      if (kept) {
+        release(address, connection);
+      } else {
+        connection.close();
+      }
     }
 
     @Override
@@ -82,10 +70,18 @@
    * @param connectTimeoutMillis the maximum time for opening a connection, in milliseconds
    * @param clock the monotonic clock, in milliseconds
    * @param matcher finds out to which requests the responses on the connections belong
+   * @param unreliableListener receives each address whose responses could not be told apart, when
+   *     its connections begin to carry a single request each
    */
-  EndpointPool(Vertx vertx, int connectTimeoutMillis, LongSupplier clock, ResponseMatcher matcher) {
+  EndpointPool(
+      Vertx vertx,
+      int connectTimeoutMillis,
+      LongSupplier clock,
+      ResponseMatcher matcher,
+      Consumer<String> unreliableListener) {
     this.clock = clock;
     this.matcher = matcher;
+    this.unreliableListener = unreliableListener;
     client =
         vertx.createNetClient(
             new NetClientOptions()
@@ -124,12 +120,12 @@
 
   /** Opens a new connection to an address, which is kept for further requests. */
   Future<EndpointConnection> open(String address) {
-    return open(address, new AddressListener(address));
+    return open(address, new AddressListener(address, true));
   }
 
   /** Opens a new connection to an address for a single request. */
   Future<EndpointConnection> openForSingleUse(String address) {
-    return open(address, new SingleUseListener(address));
+    return open(address, new AddressListener(address, false));
   }
 
   private Future<EndpointConnection> open(String address, EndpointConnection.Listener listener) {
@@ -144,6 +140,9 @@
   }
 
   private void recordUnreliable(String address) {
+    if (!isUnreliable(address)) {
+      unreliableListener.accept(address);
+    }
     closeIdle(address);
     unreliableUntilMillis.put(address, clock.getAsLong() + UNRELIABLE_EXPIRY_MILLIS);
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -135,7 +135,7 @@
     HostRecord self = createRecord(settings, random.nextLong(), startedAtMillis);
     List<String> seeds = settings.seeds().stream().map(HostNames::ofAddress).toList();
     state = new HostState(context, new HostOverlay(self, seeds, random));
-    connections = new HostConnections(vertx, context.clock(), platform.headerTranslator());
+    connections = new HostConnections(context, platform.headerTranslator());
     peers = createPeerNetwork(scheduler, startedAtMillis, random);
     PeerSender sender = this::send;
     statuses = new StatusExchange(context, state, new StatusRelay(self), sender);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostConnections.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostConnections.java
@@ -1,8 +1,6 @@
 package org.lentilhinge.runtime.forward;
 
-import io.vertx.core.Vertx;
 import java.util.List;
-import java.util.function.LongSupplier;
 
 /**
  * The connections of a host, apart by what they carry: a response that is repeated late can only be
@@ -12,24 +10,32 @@
 
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
-  private final Vertx vertx;
-  private final LongSupplier clock;
+  private final HostContext context;
   private final EndpointPool requestPool;
   private final EndpointPool orderPool;
   private final EndpointPool reportPool;
   private final EndpointPool storePool;
 
-  HostConnections(Vertx vertx, LongSupplier clock, HeaderTranslator headerTranslator) {
-    this.vertx = vertx;
-    this.clock = clock;
-    requestPool = createPool(new NamedResponseMatcher(headerTranslator));
-    orderPool = createPool(new OrderedResponseMatcher());
-    reportPool = createPool(new OrderedResponseMatcher());
-    storePool = createPool(new OrderedResponseMatcher());
+  HostConnections(HostContext context, HeaderTranslator headerTranslator) {
+    this.context = context;
+    requestPool = createPool("requests", new NamedResponseMatcher(headerTranslator));
+    orderPool = createPool("orders", new OrderedResponseMatcher());
+    reportPool = createPool("reports", new OrderedResponseMatcher());
+    storePool = createPool("store", new OrderedResponseMatcher());
   }
 
-  private EndpointPool createPool(ResponseMatcher matcher) {
-    return new EndpointPool(vertx, CONNECT_TIMEOUT_MILLIS, clock, matcher);
+  private EndpointPool createPool(String carried, ResponseMatcher matcher) {
+    return new EndpointPool(
+        context.vertx(),
+        CONNECT_TIMEOUT_MILLIS,
+        context.clock(),
+        matcher,
+        address ->
+            context.log().line("address-unreliable", "address", address, "carried", carried));
+  }
+
+  private ControlHttpClient createClient(EndpointPool pool) {
+    return new ControlHttpClient(context.vertx(), pool, context.clock());
   }
 
   /** Returns the pool of the connections for the requests of callers. */
@@ -44,17 +50,17 @@
 
   /** Returns a client for orders to engines. */
   ControlHttpClient orderClient() {
-    return new ControlHttpClient(vertx, orderPool, clock);
+    return createClient(orderPool);
   }
 
   /** Returns a client for reading the reports of engines. */
   ControlHttpClient reportClient() {
-    return new ControlHttpClient(vertx, reportPool, clock);
+    return createClient(reportPool);
   }
 
   /** Returns a client for calls to the store. */
   ControlHttpClient storeClient() {
-    return new ControlHttpClient(vertx, storePool, clock);
+    return createClient(storePool);
   }
 
   /** Closes the idle connections that have expired. */
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ControlHttpClientTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ControlHttpClientTest.java
@@ -40,7 +40,8 @@
 
   private Future<ControlResponse> read(ScriptedEndpoint endpoint) {
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    EndpointPool pool = new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher());
+    EndpointPool pool =
+        new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher(), address -> {});
     return new ControlHttpClient(vertx, pool, clock).read(endpoint.address(), "/", TIMEOUT_MILLIS);
   }
 
@@ -90,7 +91,9 @@
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     ControlHttpClient client =
         new ControlHttpClient(
-            vertx, new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher()), clock);
+            vertx,
+            new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher(), address -> {}),
+            clock);
     CompletionException failure =
         expectThrows(
             CompletionException.class,
@@ -126,7 +129,9 @@
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     ControlHttpClient client =
         new ControlHttpClient(
-            vertx, new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher()), clock);
+            vertx,
+            new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher(), address -> {}),
+            clock);
     CompletableFuture<List<Integer>> statuses = new CompletableFuture<>();
     vertx
         .getOrCreateContext()
@@ -162,8 +167,10 @@
         new ScriptedEndpoint(
             vertx,
             (socket, request) -> socket.write(report).onComplete(unused -> socket.write(report)));
+    List<String> unreliable = new ArrayList<>();
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    EndpointPool pool = new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher());
+    EndpointPool pool =
+        new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher(), unreliable::add);
     ControlHttpClient client = new ControlHttpClient(vertx, pool, clock);
     for (int call = 0; call < 3; call++) {
       Future<ControlResponse> response =
@@ -172,11 +179,13 @@
       assertTrue(endpoint.awaitClosed());
     }
     assertEquals(endpoint.connections(), 3);
+    assertEquals(unreliable, List.of(endpoint.address()));
   }
 
   private CompletableFuture<List<Integer>> calls(ScriptedEndpoint endpoint) {
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    EndpointPool pool = new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher());
+    EndpointPool pool =
+        new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher(), address -> {});
     ControlHttpClient client = new ControlHttpClient(vertx, pool, clock);
     CompletableFuture<List<Integer>> statuses = new CompletableFuture<>();
     vertx
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -125,7 +125,7 @@
 
   private EndpointPool createPool() {
     ResponseMatcher matcher = new NamedResponseMatcher(new PlainHeaderTranslator());
-    return new EndpointPool(vertx, 1_000, context.clock(), matcher);
+    return new EndpointPool(vertx, 1_000, context.clock(), matcher, address -> {});
   }
 
   private PathRunner createPaths(EndpointPool pool, HostBroadcast broadcast, HostRelay relay) {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/RepeatedRefusalTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/RepeatedRefusalTest.java
@@ -67,7 +67,8 @@
     ScriptedEndpoint endpoint =
         new ScriptedEndpoint(vertx, (socket, request) -> socket.write(refusal));
     ResponseMatcher ordered = new OrderedResponseMatcher();
-    EndpointPool pool = new EndpointPool(vertx, 1_000, System::currentTimeMillis, ordered);
+    EndpointPool pool =
+        new EndpointPool(vertx, 1_000, System::currentTimeMillis, ordered, address -> {});
     ControlHttpClient client = new ControlHttpClient(vertx, pool, System::currentTimeMillis);
     for (int call = 0; call < 2; call++) {
       client
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreRestoreSimulation.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreRestoreSimulation.java
@@ -233,7 +233,8 @@
               new StatusExchange(context, state, new StatusRelay(self), peers),
               state,
               new EndpointLimitRunner(context, state, broadcast, peers));
-      EndpointPool pool = new EndpointPool(vertx, 1_000, () -> now(), new OrderedResponseMatcher());
+      EndpointPool pool =
+          new EndpointPool(vertx, 1_000, () -> now(), new OrderedResponseMatcher(), address -> {});
       EndpointDepartureRunner departures =
           new EndpointDepartureRunner(context, state, new EndpointDepartures(random), broadcast);
       StoreStateUpdater updater =
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/TruncatedResponseTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/TruncatedResponseTest.java
@@ -163,7 +163,9 @@
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     ControlHttpClient client =
         new ControlHttpClient(
-            vertx, new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher()), clock);
+            vertx,
+            new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher(), address -> {}),
+            clock);
     for (Framing framing : Framing.values()) {
       for (End end : End.values()) {
         for (int length = 0; length <= framing.cuts(end == End.RESET); length++) {
