Log on which knowledge engines are taken over and ordered

The log of an incident on real processes could not tell why two hosts ordered one engine: orders stated neither the claims heard nor the majority, and takeovers wrote nothing but a report. Orders and takeovers now state the latest claim of another host, the highest fencing token known, the age of the count, the live hosts, the majority and the age of the revision. Claims carry the token; a claim heard by an owner, and an order below a known token, are lines of their own. No decision has changed.

--- a/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import org.lentilhinge.fleet.FleetEndpoint;
@@ -50,17 +49,13 @@
 
   private final Map<String, ReceivedStatus> statuses = new HashMap<>();
   private final Map<String, UnreportedRequests> unreported = new HashMap<>();
-  private final Map<String, Claim> claims = new HashMap<>();
-  private final Set<String> leavingHosts = new HashSet<>();
+  private final OwnershipClaims claims = new OwnershipClaims();
 
   /** Creates a selector without engine statuses. */
   public EngineSelector() {}
 
   private record ReceivedStatus(String host, EngineStatus status, long receivedAtMillis) {}
 
-  /** The latest time at which a host stated that it owns an engine. */
-  private record Claim(String host, long receivedAtMillis) {}
-
   /** This host's permit requests to an engine that its latest status does not include yet. */
   private static final class UnreportedRequests {
     private double prefillMillis;
@@ -76,7 +71,7 @@
    * @param nowMillis the current time, in milliseconds
    */
   public void updateStatus(String host, EngineStatus status, long nowMillis) {
-    recordClaim(host, status, nowMillis);
+    claims.recordStatus(host, status, nowMillis);
     ReceivedStatus former = statuses.get(status.incarnation());
     boolean authoritative = former == null || former.host().equals(host) || status.owned();
     if (authoritative || nowMillis - former.receivedAtMillis() > MAXIMUM_STATUS_AGE_MILLIS) {
@@ -85,61 +80,13 @@
     }
   }
 
-  private void recordClaim(String host, EngineStatus status, long nowMillis) {
-    if (status.owned() && !leavingHosts.contains(host)) {
-      claims.put(status.incarnation(), new Claim(host, nowMillis));
-    } else {
-      claims.computeIfPresent(
-          status.incarnation(), (name, claim) -> claim.host().equals(host) ? null : claim);
-    }
-  }
-
-  /**
-   * Returns when another host last stated that it owns an engine. The claim of a host that fell
-   * silent remains, because the host may still act on it.
-   *
-   * @param incarnation the engine's incarnation
-   * @param self the name of this host
-   * @return the time at which the latest status arrived, in milliseconds; empty if no other host
-   *     claims the ownership
-   */
-  public OptionalLong claimedElsewhereAtMillis(String incarnation, String self) {
-    Claim claim = claims.get(incarnation);
-    return claim == null || claim.host().equals(self)
-        ? OptionalLong.empty()
-        : OptionalLong.of(claim.receivedAtMillis());
-  }
-
   /**
-   * Removes the claims of a host that is shutting down, and ignores those that arrive late.
+   * Returns the claims of the ownership of engines, as of the recorded statuses.
    *
-   * @param host the host, which sends no further orders
+   * @return the claims of all hosts
    */
-  public void recordLeaving(String host) {
-    leavingHosts.add(host);
-    removeClaims(host);
-  }
-
-  /**
-   * Removes the claims of a host whose process has ended.
-   *
-   * @param host the host, which has been restarted
-   */
-  public void recordRestart(String host) {
-    removeClaims(host);
-  }
-
-  /**
-   * Considers the claims of a host again that was shutting down, as none arrives late any more.
-   *
-   * @param host the host, which was lost or restarted
-   */
-  public void recordEnd(String host) {
-    leavingHosts.remove(host);
-  }
-
-  private void removeClaims(String host) {
-    claims.values().removeIf(claim -> claim.host().equals(host));
+  public OwnershipClaims claims() {
+    return claims;
   }
 
   /**
@@ -173,7 +120,7 @@
   public void removeEngine(String incarnation) {
     statuses.remove(incarnation);
     unreported.remove(incarnation);
-    claims.remove(incarnation);
+    claims.removeEngine(incarnation);
   }
 
   /**
--- a/core/src/main/java/org/lentilhinge/permit/EngineStatus.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineStatus.java
@@ -12,6 +12,8 @@
  *     in milliseconds; the length of the backoff while the engine is unreachable
  * @param availableSlots the number of adapter slots that are free or hold an idle adapter
  * @param waitingAdapters the number of adapters whose requests wait for a slot
+ * @param fencingToken the fencing token of the sender's orders; 0 if the sender does not own the
+ *     engine or does not state its token
  */
 public record EngineStatus(
     String incarnation,
@@ -19,7 +21,8 @@
     List<String> adapters,
     long backlogMillis,
     int availableSlots,
-    int waitingAdapters) {
+    int waitingAdapters,
+    long fencingToken) {
 
   /**
    * Copies the adapters.
@@ -30,12 +33,45 @@
    * @param backlogMillis the prefill time, in milliseconds
    * @param availableSlots the number of available slots
    * @param waitingAdapters the number of adapters that wait for a slot
+   * @param fencingToken the fencing token, or 0
    */
   public EngineStatus {
     adapters = List.copyOf(adapters);
   }
 
+  /**
+   * Creates a status without a fencing token.
+   *
+   * @param incarnation the incarnation of the engine
+   * @param owned whether the sender owns the engine
+   * @param adapters the adapters
+   * @param backlogMillis the prefill time, in milliseconds
+   * @param availableSlots the number of available slots
+   * @param waitingAdapters the number of adapters that wait for a slot
+   */
+  public EngineStatus(
+      String incarnation,
+      boolean owned,
+      List<String> adapters,
+      long backlogMillis,
+      int availableSlots,
+      int waitingAdapters) {
+    this(incarnation, owned, adapters, backlogMillis, availableSlots, waitingAdapters, 0);
+  }
+
+  /**
+   * Returns this status with a fencing token.
+   *
+   * @param token the fencing token of the sender's orders
+   * @return the status
+   */
+  public EngineStatus withFencingToken(long token) {
+    return new EngineStatus(
+        incarnation, owned, adapters, backlogMillis, availableSlots, waitingAdapters, token);
+  }
+
   EngineStatus withBacklog(long millis) {
-    return new EngineStatus(incarnation, owned, adapters, millis, availableSlots, waitingAdapters);
+    return new EngineStatus(
+        incarnation, owned, adapters, millis, availableSlots, waitingAdapters, fencingToken);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -130,7 +130,7 @@
   void updateStatus(String host, EngineStatus status) {
     OwnedEngineRunner runner = runners.get(status.incarnation());
     if (runner != null && status.owned()) {
-      runner.recordOtherOwner(host);
+      runner.recordOtherOwner(host, status.fencingToken());
       if (!runner.isBusy()) {
         close(status.incarnation());
       }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -198,6 +198,11 @@
         : 0;
   }
 
+  /** Returns the age of the latest own read of the store, in milliseconds. */
+  long revisionAgeMillis() {
+    return context.now() - revisionReadAtMillis;
+  }
+
   /**
    * Returns the time for which this host has not been in contact with the majority of the hosts, in
    * milliseconds; 0 if it is.
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OtherHostsListener.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OtherHostsListener.java
@@ -21,12 +21,12 @@
     // The engines of the leaving host need a new owner. The leaving host still serves earlier
     // permit requests.
     engineSelector.removeHost(host);
-    engineSelector.recordLeaving(host);
+    engineSelector.claims().recordLeaving(host);
   }
 
   @Override
   public void onProcessEnded(String host) {
-    engineSelector.recordRestart(host);
+    engineSelector.claims().recordRestart(host);
   }
 
   @Override
@@ -40,6 +40,6 @@
     schedulers.removeHost(host);
     permits.endHost(host);
     engineSelector.removeHost(host);
-    engineSelector.recordEnd(host);
+    engineSelector.claims().recordEnd(host);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineLog.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineLog.java
@@ -1,5 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.permit.AdapterOrder;
 import org.lentilhinge.permit.EngineCommand;
@@ -22,6 +24,52 @@
     log.line("hold-lost", "engine", engine.id(), "to", to);
   }
 
+  /** Writes on which knowledge this host took the engine over. */
+  void writeTakeover(int rank, long revision, OwnershipEvidence evidence) {
+    write(
+        "hold-taken",
+        evidence,
+        "rank",
+        rank,
+        "revision",
+        revision,
+        "expected",
+        ownership.expectedOrderCount().orElse(-1),
+        "fence",
+        ownership.fencingToken().orElse(0));
+  }
+
+  /** Writes that an order is about to be sent whose token is lower than one that is known. */
+  void writeOrderBehind(OwnershipEvidence evidence) {
+    write("order-behind", evidence, "fence", ownership.fencingToken().orElse(0));
+  }
+
+  /** Writes that another host claims the engine that this host owns. */
+  void writeClaimHeard(String host, long fencingToken) {
+    log.line(
+        "claim-heard",
+        "engine",
+        engine.id(),
+        "from",
+        host,
+        "claimFence",
+        fencingToken,
+        "fence",
+        ownership.fencingToken().orElse(0));
+  }
+
+  private void write(String event, OwnershipEvidence evidence, Object... details) {
+    List<Object> fields = withEngine(details);
+    fields.addAll(evidence.fields());
+    log.line(event, fields.toArray());
+  }
+
+  private List<Object> withEngine(Object... details) {
+    List<Object> fields = new ArrayList<>(List.of("engine", engine.id()));
+    fields.addAll(List.of(details));
+    return fields;
+  }
+
   void writeRecovery(String reason, int permits) {
     log.line("permits-recovered", "engine", engine.id(), "why", reason, "permits", permits);
   }
@@ -68,22 +116,29 @@
         answer.answer().retryAfterMillis());
   }
 
+  /** Writes how the engine answered an order, and on which knowledge it was sent. */
+  void writeAnsweredOrder(AdapterOrder order, OrderResult result, OwnershipEvidence evidence) {
+    write("order", evidence, orderFields(order, result));
+  }
+
   void writeOrder(String event, AdapterOrder order, Object outcome) {
-    log.line(
-        event,
-        "engine",
-        engine.id(),
-        "op",
-        order.load() ? "load" : "unload",
-        "adapter",
-        order.model() + '/' + order.adapter(),
-        "version",
-        order.version(),
-        "outcome",
-        outcome,
-        "expected",
-        ownership.expectedOrderCount().orElse(-1),
-        "fence",
-        ownership.fencingToken().orElse(0));
+    log.line(event, withEngine(orderFields(order, outcome)).toArray());
+  }
+
+  private Object[] orderFields(AdapterOrder order, Object outcome) {
+    return new Object[] {
+      "op",
+      order.load() ? "load" : "unload",
+      "adapter",
+      order.model() + '/' + order.adapter(),
+      "version",
+      order.version(),
+      "outcome",
+      outcome,
+      "expected",
+      ownership.expectedOrderCount().orElse(-1),
+      "fence",
+      ownership.fencingToken().orElse(0)
+    };
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -32,9 +32,6 @@
   /** The delay before an order is sent again after a conflict or no response, in milliseconds. */
   private static final long CONFLICT_DELAY_MILLIS = 150;
 
-  /** The interval between decisions while requests wait for prefill, in milliseconds. */
-  private static final long DECISION_INTERVAL_MILLIS = 15;
-
   /** The minimum interval between report reads of an engine that may be down, in milliseconds. */
   private static final long READ_INTERVAL_MILLIS = 300;
 
@@ -67,6 +64,7 @@
   private final OrderCounts counts;
   private final OwnershipRules ownershipRules;
   private final OwnedEngineLog log;
+  private final DecisionTimer decisionTimer;
   private final OwnedOrders orders = new OwnedOrders();
   private boolean orderInFlight;
   private boolean readInFlight;
@@ -74,7 +72,6 @@
   /** Whether the state of the engine differs from the state that its scheduler assumes. */
   private boolean schedulerOutdated;
 
-  private boolean decisionScheduled;
   private long lastReadAtMillis;
   private final long createdAtMillis;
   private long lastTickAtMillis;
@@ -104,6 +101,9 @@
             context.settings().bounds().leaseMillis(), RendezvousHash.hash(context.host()));
     ownershipRules = new OwnershipRules(context, state, engine, ownership, counts);
     log = new OwnedEngineLog(context.log(), engine, ownership);
+    decisionTimer =
+        new DecisionTimer(
+            context.vertx(), scheduler, () -> execute(scheduler.decide(context.now())));
     createdAtMillis = context.now();
     lastTickAtMillis = createdAtMillis;
     scheduler.awaitReport();
@@ -127,7 +127,9 @@
   }
 
   EngineStatus status() {
-    return scheduler.status(engine.incarnation(), ownership.isOwner(), context.now());
+    return scheduler
+        .status(engine.incarnation(), ownership.isOwner(), context.now())
+        .withFencingToken(ownership.fencingToken().orElse(0));
   }
 
   void submit(String host, PermitRequest request) {
@@ -153,8 +155,9 @@
   }
 
   /** Records that another host announced its ownership of the engine; its orders are void. */
-  void recordOtherOwner(String host) {
+  void recordOtherOwner(String host, long fencingToken) {
     if (ownership.isOwner()) {
+      log.writeClaimHeard(host, fencingToken);
       log.writeOwnershipLost(host);
     }
     ownership.recordOtherOwner(context.now());
@@ -264,6 +267,9 @@
             && rank >= 0
             && ownershipRules.isInMajority()
             && ownership.tryTakeOver(rank, state.freshRevision(), now);
+    if (acquired) {
+      log.writeTakeover(rank, state.freshRevision(), ownershipRules.evidence());
+    }
     if (!wasOwner || schedulerOutdated) {
       schedulerOutdated = false;
       scheduler.updateFromReport(
@@ -316,21 +322,7 @@
       }
     }
     sendNextOrder();
-    scheduleDecision();
-  }
-
-  private void scheduleDecision() {
-    if (!decisionScheduled && !closed && scheduler.hasWaiting()) {
-      decisionScheduled = true;
-      context
-          .vertx()
-          .setTimer(
-              DECISION_INTERVAL_MILLIS,
-              id -> {
-                decisionScheduled = false;
-                execute(scheduler.decide(context.now()));
-              });
-    }
+    decisionTimer.scheduleIfWaiting();
   }
 
   private boolean isValid(OwnedOrder order) {
@@ -366,6 +358,10 @@
     orderInFlight = true;
     long expectedOrderCount = ownership.expectedOrderCount().orElse(0);
     long fencingToken = ownership.fencingToken().orElseThrow();
+    OwnershipEvidence evidence = ownershipRules.evidence();
+    if (fencingToken < evidence.highestToken()) {
+      log.writeOrderBehind(evidence);
+    }
     control
         .order(
             engine,
@@ -374,10 +370,10 @@
             context.host(),
             fencingToken,
             () -> mayOrder() && isValid(order))
-        .onSuccess(result -> processResult(order, result));
+        .onSuccess(result -> processResult(order, result, evidence));
   }
 
-  private void processResult(OwnedOrder order, OrderResult result) {
+  private void processResult(OwnedOrder order, OrderResult result, OwnershipEvidence evidence) {
     orderInFlight = false;
     if (closed) {
       return;
@@ -397,7 +393,7 @@
     }
     boolean first = orders.recordCounted(order);
     if (first || result != OrderResult.ACCEPTED) {
-      log.writeOrder("order", order.order(), result);
+      log.writeAnsweredOrder(order.order(), result, evidence);
     }
     switch (result) {
       case ACCEPTED -> {
@@ -494,6 +490,7 @@
   /** Stops the runner. Waiting requests end when their hosts detect the loss of host or engine. */
   void close() {
     closed = true;
+    decisionTimer.close();
     orders.clearQueue();
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
@@ -1,10 +1,11 @@
 package org.lentilhinge.runtime.forward;
 
-import java.util.OptionalLong;
+import java.util.Optional;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.permit.EngineOwnership;
 import org.lentilhinge.permit.EngineSelector;
 import org.lentilhinge.permit.OrderCounts;
+import org.lentilhinge.permit.OwnershipClaim;
 
 /** What the other hosts mean for the ownership of one incarnation of an engine. */
 final class OwnershipRules {
@@ -77,13 +78,31 @@
   void useCountsOfOtherHosts(long acceptedOrders) {
     EngineSelector selector = state.engineSelector();
     if (!selector.isOwnedElsewhere(engine.incarnation(), context.host(), context.now())) {
-      OptionalLong claimedAt =
-          selector.claimedElsewhereAtMillis(engine.incarnation(), context.host());
       long earliestMillis =
-          claimedAt.isPresent() ? claimedAt.getAsLong() + CLAIM_MARGIN_MILLIS : Long.MIN_VALUE;
+          latestClaimElsewhere()
+              .map(claim -> claim.heardAtMillis() + CLAIM_MARGIN_MILLIS)
+              .orElse(Long.MIN_VALUE);
       counts
           .unchangedSince(engine.incarnation(), acceptedOrders)
           .ifPresent(since -> ownership.recordUnchangedSince(Math.max(since, earliestMillis)));
     }
   }
+
+  private Optional<OwnershipClaim> latestClaimElsewhere() {
+    return state.engineSelector().claims().latestElsewhere(engine.incarnation(), context.host());
+  }
+
+  /** Returns what this host knows of the ownership of the engine. */
+  OwnershipEvidence evidence() {
+    long now = context.now();
+    return new OwnershipEvidence(
+        latestClaimElsewhere(),
+        state.engineSelector().claims().highestToken(engine.incarnation()),
+        now - ownership.unchangedSinceMillis(),
+        state.hosts().liveHosts().size() + 1,
+        isInMajority(),
+        state.hosts().majority().isWhole(),
+        state.revisionAgeMillis(),
+        now);
+  }
 }
