--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineReportReader.java
@@ -0,0 +1,70 @@
+package org.lentilhinge.runtime.forward;
+
+import org.lentilhinge.fleet.FleetEndpoint;
+
+/** Reads the reports of one engine, one at a time. */
+final class EngineReportReader {
+
+  /** The minimum interval between reads of an engine that may be down, in milliseconds. */
+  static final long READ_INTERVAL_MILLIS = 300;
+
+  private final HostContext context;
+  private final EngineControl control;
+  private final FleetEndpoint engine;
+  private final Listener listener;
+  private boolean inFlight;
+  private boolean closed;
+  private long lastReadAtMillis;
+
+  /** Receives the results of the reads. */
+  interface Listener {
+
+    /**
+     * Handles a report.
+     *
+     * @param report the report
+     * @param reason why the report was read
+     */
+    void onReport(EngineReport report, String reason);
+
+    /** Handles a read that received no report. */
+    void onNoReport();
+  }
+
+  EngineReportReader(
+      HostContext context, EngineControl control, FleetEndpoint engine, Listener listener) {
+    this.context = context;
+    this.control = control;
+    this.engine = engine;
+    this.listener = listener;
+  }
+
+  /** Reads a report unless a read is in flight. */
+  void read(String reason) {
+    if (inFlight || closed) {
+      return;
+    }
+    inFlight = true;
+    lastReadAtMillis = context.now();
+    control
+        .report(engine)
+        .onComplete(
+            result -> {
+              inFlight = false;
+              if (result.succeeded()) {
+                listener.onReport(result.result(), reason);
+              } else {
+                listener.onNoReport();
+              }
+            });
+  }
+
+  /** Indicates whether the last read was long enough ago for one that is repeated. */
+  boolean isDue() {
+    return context.now() - lastReadAtMillis >= READ_INTERVAL_MILLIS;
+  }
+
+  void close() {
+    closed = true;
+  }
+}
