Take an engine over only with the word of all other live hosts

Cause: the right to order was concluded from not having heard a claim. A claim is missed by a host that has just joined, whose relay is slow, frozen or cut off from it, or that the owner does not reach. Of two claims only the later one was kept.

Change: before a takeover a host asks each other live host, directly or through a third one; a host objects if it owns the engine, competes and ranks first, heard a claim of a third host within the lease and its margins, or lost the latest owner less than 1.5 s ago. Answers name hosts that the asker may not know. Claims of several hosts are kept apart and carry the token; a takeover's token is above all known ones, and the higher of two tokens prevails.

--- a/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -123,6 +124,16 @@
     return held && reachesAll;
   }
 
+  /**
+   * Returns the hosts that fell silent and may still run.
+   *
+   * @param sinceMillis the earliest time of the loss, in milliseconds
+   * @return when they were lost, in milliseconds, by name
+   */
+  public Map<String, Long> lostAtMillis(long sinceMillis) {
+    return view.lostAtMillis(sinceMillis);
+  }
+
   /**
    * Returns whether the host has been in the majority since it started.
    *
--- a/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
@@ -185,7 +185,7 @@
       return;
     }
     Optional<HostRecord> known = view.find(entry.host());
-    if (known.isPresent() && known.get().version() >= entry.version()) {
+    if (known.isPresent() && !entry.replaces(known.get())) {
       return;
     }
     view.put(entry);
@@ -427,6 +427,15 @@
     return !disconnected.contains(host);
   }
 
+  /**
+   * Returns the record of this host.
+   *
+   * @return what this host states about itself
+   */
+  public HostRecord self() {
+    return self;
+  }
+
   /**
    * Returns whether and since when this host is in the majority part of the network.
    *
--- a/core/src/main/java/org/lentilhinge/overlay/HostView.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostView.java
@@ -85,6 +85,18 @@
         });
   }
 
+  /** Returns when hosts were lost that had not announced their shutdown, in milliseconds. */
+  Map<String, Long> lostAtMillis(long sinceMillis) {
+    Map<String, Long> times = new HashMap<>();
+    lost.forEach(
+        (host, entry) -> {
+          if (!entry.leaving() && entry.lostAtMillis() >= sinceMillis) {
+            times.put(host, entry.lostAtMillis());
+          }
+        });
+    return times;
+  }
+
   /** Returns the digest of the live hosts together with a further record. */
   long digestWith(HostRecord self) {
     return digest ^ digestOf(self);
--- a/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
@@ -10,12 +10,12 @@
  * without an order of its own relinquishes the engine and observes it again; so does one that is
  * idle and has lost contact with the majority. A fencing token consists of the store's revision at
  * the time of the takeover, as a number that never decreases, the order count and the host's
- * number.
+ * number, and is higher than all tokens known.
  */
 public final class EngineOwnership {
 
   /** The maximum age of the data in an engine's report, in milliseconds. */
-  private static final long MAXIMUM_REPORT_AGE_MILLIS = 400;
+  public static final long MAXIMUM_REPORT_AGE_MILLIS = 400;
 
   /** The delay of a takeover per rank, so that nearer hosts come first, in milliseconds. */
   private static final long RANK_DELAY_MILLIS = 2_000;
@@ -76,7 +76,7 @@
    */
   private void checkOrderCount(long accepted, long nowMillis) {
     long expected = acceptedOrders.orElse(0);
-    boolean comparable = nowMillis - unchangedSinceMillis > MAXIMUM_REPORT_AGE_MILLIS;
+    boolean comparable = isReportComparable(nowMillis);
     boolean orderedElsewhere = accepted > expected + unconfirmedOrders;
     boolean restarted = comparable && accepted < expected - uncertainOrders;
     if (orderedElsewhere || restarted) {
@@ -118,7 +118,7 @@
   }
 
   /**
-   * Returns whether a report that is read now would be newer than this host's last order.
+   * Returns whether a report that is requested now would be newer than this host's last order.
    *
    * @param nowMillis the current time, in milliseconds
    * @return whether the reported count can be compared with the expected one
@@ -154,13 +154,14 @@
    *
    * @param rank the rank of this host among those that may take over the engine; 0 is the first
    * @param revision the number of the latest state of the store that this host has read; 0 if none
+   * @param highestToken the highest fencing token that is known for the engine; 0 if none
    * @param nowMillis the current time, in milliseconds
    * @return whether this host owns the engine now
    */
-  public boolean tryTakeOver(int rank, long revision, long nowMillis) {
+  public boolean tryTakeOver(int rank, long revision, long highestToken, long nowMillis) {
     boolean fresh = nowMillis - lastReadAtMillis <= MAXIMUM_REPORT_AGE_MILLIS;
     if (!isOwner() && fresh && revision > 0 && isTakeoverDue(rank, nowMillis)) {
-      fencingToken = OptionalLong.of(newFencingToken(revision));
+      fencingToken = OptionalLong.of(newFencingToken(revision, highestToken));
       takeovers++;
       activeAtMillis = nowMillis;
       unconfirmedOrders = 0;
@@ -171,12 +172,15 @@
 
   /**
    * Combines values that never decrease: the revision across all incarnations and the order count
-   * within one incarnation.
+   * within one incarnation. A takeover at the same revision and count as the former one needs a
+   * higher value.
    */
-  private long newFencingToken(long revision) {
-    return (revision * ORDER_COUNTS + Math.min(ORDER_COUNTS - 1, acceptedOrders.orElse(0)))
-            * HOST_NUMBERS
-        + hostNumber;
+  private long newFencingToken(long revision, long highestToken) {
+    long upperPart = revision * ORDER_COUNTS + Math.min(ORDER_COUNTS - 1, acceptedOrders.orElse(0));
+    long token = upperPart * HOST_NUMBERS + hostNumber;
+    return token > highestToken
+        ? token
+        : (highestToken / HOST_NUMBERS + 1) * HOST_NUMBERS + hostNumber;
   }
 
   /**
--- a/core/src/main/java/org/lentilhinge/permit/OwnershipClaims.java
+++ b/core/src/main/java/org/lentilhinge/permit/OwnershipClaims.java
@@ -1,10 +1,12 @@
 package org.lentilhinge.permit;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Stores which hosts state that they own an engine. The claim of a host that fell silent remains,
@@ -12,7 +14,17 @@
  */
 public final class OwnershipClaims {
 
-  private final Map<String, OwnershipClaim> claims = new HashMap<>();
+  /**
+   * The time after the loss of a host during which an engine that it may own is not taken over, in
+   * milliseconds. An owner that is idle orders only while its neighbors know it as live, by their
+   * heartbeats of the last 1.4 s.
+   */
+  public static final long LOST_HOST_MILLIS = 1_500;
+
+  private static final Comparator<OwnershipClaim> BY_TIME =
+      Comparator.comparingLong(OwnershipClaim::heardAtMillis);
+
+  private final Map<String, Map<String, OwnershipClaim>> claims = new HashMap<>();
   private final Map<String, Long> highestTokens = new HashMap<>();
   private final Set<String> leavingHosts = new HashSet<>();
 
@@ -27,15 +39,47 @@
    * @param nowMillis the current time, in milliseconds
    */
   public void recordStatus(String host, EngineStatus status, long nowMillis) {
-    highestTokens.merge(status.incarnation(), status.fencingToken(), Math::max);
-    if (status.owned() && !leavingHosts.contains(host)) {
-      claims.put(status.incarnation(), new OwnershipClaim(host, status.fencingToken(), nowMillis));
+    if (status.owned()) {
+      recordClaim(status.incarnation(), host, status.fencingToken(), nowMillis);
     } else {
-      claims.computeIfPresent(
-          status.incarnation(), (name, claim) -> claim.host().equals(host) ? null : claim);
+      recordToken(status.incarnation(), status.fencingToken());
+      claimsOf(status.incarnation()).remove(host);
     }
   }
 
+  /**
+   * Records that a host owns an engine.
+   *
+   * @param incarnation the engine's incarnation
+   * @param host the host
+   * @param fencingToken the fencing token of its orders; 0 if it is not known
+   * @param nowMillis the current time, in milliseconds
+   */
+  public void recordClaim(String incarnation, String host, long fencingToken, long nowMillis) {
+    recordToken(incarnation, fencingToken);
+    if (!leavingHosts.contains(host)) {
+      claimsOf(incarnation).put(host, new OwnershipClaim(host, fencingToken, nowMillis));
+    }
+  }
+
+  /**
+   * Records that a fencing token is in use.
+   *
+   * @param incarnation the engine's incarnation
+   * @param fencingToken the token; 0 if none is known
+   */
+  public void recordToken(String incarnation, long fencingToken) {
+    highestTokens.merge(incarnation, fencingToken, Math::max);
+  }
+
+  private Map<String, OwnershipClaim> claimsOf(String incarnation) {
+    return claims.computeIfAbsent(incarnation, unused -> new HashMap<>());
+  }
+
+  private Stream<OwnershipClaim> streamClaims(String incarnation) {
+    return claims.getOrDefault(incarnation, Map.of()).values().stream();
+  }
+
   /**
    * Returns the latest claim of another host.
    *
@@ -44,7 +88,7 @@
    * @return the claim; empty if no other host claims the ownership
    */
   public Optional<OwnershipClaim> latestElsewhere(String incarnation, String self) {
-    return Optional.ofNullable(claims.get(incarnation)).filter(claim -> !claim.host().equals(self));
+    return streamClaims(incarnation).filter(claim -> !claim.host().equals(self)).max(BY_TIME);
   }
 
   /**
@@ -57,6 +101,47 @@
     return highestTokens.getOrDefault(incarnation, 0L);
   }
 
+  /**
+   * Returns why a host may not take over an engine, as far as the claims of third hosts are
+   * concerned.
+   *
+   * @param incarnation the engine's incarnation
+   * @param candidate the host that is about to take over the engine
+   * @param self the name of this host, whose own ownership is known without a claim
+   * @param claimMillis the time after a claim during which its host may send orders, in
+   *     milliseconds
+   * @param lostAtMillis when hosts were lost, in milliseconds, without those that left or were
+   *     restarted
+   * @param nowMillis the current time, in milliseconds
+   * @return the objection, or empty if there is none
+   */
+  public Optional<OwnershipObjection> objection(
+      String incarnation,
+      String candidate,
+      String self,
+      long claimMillis,
+      Map<String, Long> lostAtMillis,
+      long nowMillis) {
+    Optional<OwnershipClaim> claim =
+        streamClaims(incarnation)
+            .filter(entry -> !entry.host().equals(candidate) && !entry.host().equals(self))
+            .max(BY_TIME);
+    if (claim.isPresent() && nowMillis - claim.get().heardAtMillis() < claimMillis) {
+      long waitMillis = claim.get().heardAtMillis() + claimMillis - nowMillis;
+      return Optional.of(new OwnershipObjection("claimed", claim.get().host(), waitMillis));
+    }
+    Optional<String> latestOwner = streamClaims(incarnation).max(BY_TIME).map(OwnershipClaim::host);
+    return lostAtMillis.entrySet().stream()
+        .filter(lost -> !lost.getKey().equals(candidate))
+        .filter(lost -> latestOwner.isEmpty() || latestOwner.get().equals(lost.getKey()))
+        .filter(lost -> nowMillis - lost.getValue() < LOST_HOST_MILLIS)
+        .max(Map.Entry.comparingByValue())
+        .map(
+            lost ->
+                new OwnershipObjection(
+                    "host-lost", lost.getKey(), lost.getValue() + LOST_HOST_MILLIS - nowMillis));
+  }
+
   /**
    * Removes the claims of a host that is shutting down, and ignores those that arrive late.
    *
@@ -96,6 +181,6 @@
   }
 
   private void removeClaims(String host) {
-    claims.values().removeIf(claim -> claim.host().equals(host));
+    claims.values().forEach(hosts -> hosts.remove(host));
   }
 }
--- a/core/src/test/java/org/lentilhinge/permit/EngineOwnershipTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineOwnershipTest.java
@@ -23,21 +23,21 @@
     EngineOwnership ownership = new EngineOwnership(LEASE_MILLIS, 7);
     ownership.recordOrderCount(4, 0);
     ownership.recordOrderCount(4, LEASE_MILLIS);
-    assertFalse(ownership.tryTakeOver(0, 10, LEASE_MILLIS));
+    assertFalse(ownership.tryTakeOver(0, 10, 0, LEASE_MILLIS));
     ownership.recordOrderCount(5, LEASE_MILLIS + 100);
     ownership.recordOrderCount(5, 2 * LEASE_MILLIS);
-    assertFalse(ownership.tryTakeOver(0, 10, 2 * LEASE_MILLIS));
+    assertFalse(ownership.tryTakeOver(0, 10, 0, 2 * LEASE_MILLIS));
     ownership.recordOrderCount(5, 2 * LEASE_MILLIS + 500);
-    assertTrue(ownership.tryTakeOver(0, 10, 2 * LEASE_MILLIS + 500));
+    assertTrue(ownership.tryTakeOver(0, 10, 0, 2 * LEASE_MILLIS + 500));
   }
 
   @Test
   public void takesOverOnlyWithFreshReadingAndRevision() {
     EngineOwnership ownership = new EngineOwnership(LEASE_MILLIS, 7);
     ownership.recordOrderCount(4, 0);
-    assertFalse(ownership.tryTakeOver(0, 10, 10_000));
+    assertFalse(ownership.tryTakeOver(0, 10, 0, 10_000));
     ownership.recordOrderCount(4, 10_000);
-    assertFalse(ownership.tryTakeOver(0, 0, 10_000));
+    assertFalse(ownership.tryTakeOver(0, 0, 0, 10_000));
   }
 
   @Test
@@ -45,7 +45,7 @@
     EngineOwnership ownership = new EngineOwnership(LEASE_MILLIS, 7);
     ownership.recordOrderCount(4, 0);
     ownership.recordOrderCount(4, 4_000);
-    assertTrue(ownership.tryTakeOver(0, 10, 4_000));
+    assertTrue(ownership.tryTakeOver(0, 10, 0, 4_000));
     ownership.recordAcceptedOrder(4_100);
     ownership.recordOrderCount(6, 5_000);
     assertFalse(ownership.isOwner());
@@ -56,7 +56,7 @@
     EngineOwnership ownership = new EngineOwnership(LEASE_MILLIS, 7);
     ownership.recordOrderCount(4, 0);
     ownership.recordOrderCount(4, 4_000);
-    ownership.tryTakeOver(0, 10, 4_000);
+    ownership.tryTakeOver(0, 10, 0, 4_000);
     ownership.recordUnconfirmedOrder();
     ownership.recordOrderCount(5, 5_000);
     assertTrue(ownership.isOwner());
@@ -114,7 +114,7 @@
         engine.order(ownerships[host], host, nowMillis);
       } else {
         ownerships[host].recordOrderCount(engine.orders, nowMillis);
-        ownerships[host].tryTakeOver(host, revision, nowMillis);
+        ownerships[host].tryTakeOver(host, revision, 0, nowMillis);
       }
     }
     long highest = 0;
@@ -137,7 +137,7 @@
     EngineOwnership ownership = new EngineOwnership(LEASE_MILLIS, 7);
     ownership.recordOrderCount(acceptedOrders, 0);
     ownership.recordOrderCount(acceptedOrders, 4_000);
-    assertTrue(ownership.tryTakeOver(0, 10, 4_000));
+    assertTrue(ownership.tryTakeOver(0, 10, 0, 4_000));
     return ownership;
   }
 
@@ -150,7 +150,7 @@
     assertTrue(ownership.isOwner());
     ownership.recordOrderCount(1, 5_000);
     assertFalse(ownership.isOwner());
-    assertFalse(ownership.tryTakeOver(0, 10, 5_000));
+    assertFalse(ownership.tryTakeOver(0, 10, 0, 5_000));
   }
 
   @Test
--- a/core/src/test/java/org/lentilhinge/permit/EngineTakeoverTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineTakeoverTest.java
@@ -91,7 +91,7 @@
         counts[host]
             .unchangedSince(INCARNATION, reported)
             .ifPresent(ownership::recordUnchangedSince);
-        ownership.tryTakeOver(0, revision, nowMillis);
+        ownership.tryTakeOver(0, revision, 0, nowMillis);
       }
       announce(host, nowMillis);
     }
--- a/core/src/test/java/org/lentilhinge/permit/OwnershipClaimsTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/OwnershipClaimsTest.java
@@ -3,7 +3,9 @@
 import static org.testng.Assert.assertEquals;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests what a host knows of the owners of an engine. */
@@ -11,7 +13,13 @@
 
   private static final String ENGINE = "e/1";
 
-  private final OwnershipClaims claims = new OwnershipClaims();
+  private OwnershipClaims claims;
+
+  /** Creates a store without claims. */
+  @BeforeMethod
+  public void createClaims() {
+    claims = new OwnershipClaims();
+  }
 
   private static EngineStatus owned(long fencingToken) {
     return new EngineStatus(ENGINE, true, List.of(), 0, 6, 0, fencingToken);
@@ -52,4 +60,42 @@
     claims.removeEngine(ENGINE);
     assertEquals(claims.highestToken(ENGINE), 0);
   }
+
+  private Optional<String> objection(String candidate, Map<String, Long> lost, long nowMillis) {
+    return claims
+        .objection(ENGINE, candidate, "self", 3_700, lost, nowMillis)
+        .map(OwnershipObjection::reason);
+  }
+
+  // The withdrawal of a later claim removed an earlier claim of another host as well.
+  @Test
+  public void claimsOfTwoHostsAreKeptApart() {
+    claims.recordStatus("h", owned(17), 1_000);
+    claims.recordStatus("i", owned(12), 1_100);
+    claims.recordStatus("i", new EngineStatus(ENGINE, false, List.of(), 0, 6, 0), 1_200);
+    assertEquals(claimedElsewhereAt(), Optional.of(1_000L));
+  }
+
+  @Test
+  public void recentClaimOfThirdHostIsAnObjection() {
+    claims.recordStatus("h", owned(17), 1_000);
+    assertEquals(objection("c", Map.of(), 4_600), Optional.of("claimed"));
+    assertEquals(objection("h", Map.of(), 4_600), Optional.empty());
+    assertEquals(objection("c", Map.of(), 4_700), Optional.empty());
+  }
+
+  // An owner that had just been lost could still send an order.
+  @Test
+  public void recentLossOfLatestOwnerIsAnObjection() {
+    claims.recordStatus("h", owned(17), 1_000);
+    Map<String, Long> lost = Map.of("h", 9_000L, "i", 9_500L);
+    assertEquals(objection("c", lost, 10_400), Optional.of("host-lost"));
+    assertEquals(objection("c", lost, 10_500), Optional.empty());
+  }
+
+  @Test
+  public void recentLossOfAnyHostIsAnObjectionWhileNoOwnerIsKnown() {
+    assertEquals(objection("c", Map.of("i", 9_500L), 10_400), Optional.of("host-lost"));
+    assertEquals(objection("c", Map.of("i", 9_500L), 11_000), Optional.empty());
+  }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
@@ -58,6 +58,9 @@
 
     /** Handles an order that met another incarnation, or an engine without the model. */
     void onOrderMisdirected();
+
+    /** Handles evidence that another host owns the engine. */
+    void onSuperseded(String reason);
   }
 
   EngineOrderSender(
@@ -89,7 +92,7 @@
   }
 
   private boolean mayBeSent(OwnedOrder order) {
-    return isValid(order) && listener.mayOrder();
+    return isValid(order) && listener.mayOrder() && !rules.isSuperseded();
   }
 
   /** Sends the next order if there is one and nothing speaks against it. */
@@ -98,6 +101,10 @@
     if (inFlight || !listener.mayOrder() || !orders.hasNext(ownership.ownershipNumber())) {
       return;
     }
+    if (rules.isSuperseded()) {
+      listener.onSuperseded("higher-token");
+      return;
+    }
     if (!ownership.isActive(now) && (!rules.isInMajority() || listener.isUnreachable())) {
       return;
     }
@@ -113,9 +120,6 @@
     long expectedOrderCount = ownership.expectedOrderCount().orElse(0);
     long fencingToken = ownership.fencingToken().orElseThrow();
     OwnershipEvidence evidence = rules.evidence();
-    if (fencingToken < evidence.highestToken()) {
-      log.writeOrderBehind(evidence);
-    }
     control
         .order(
             engine,
@@ -170,6 +174,10 @@
         orders.recordUncounted(order);
         handleConflict(order);
       }
+      case FENCED -> {
+        finish(order, false);
+        listener.onSuperseded("fenced");
+      }
       case MISDIRECTED -> {
         listener.onOrderMisdirected();
         finish(order, false);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -7,12 +7,16 @@
 import java.util.Optional;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.EngineCapacity;
+import org.lentilhinge.overlay.HostRecord;
 import org.lentilhinge.permit.EndedPermits;
 import org.lentilhinge.permit.EngineScheduler;
 import org.lentilhinge.permit.EngineStatus;
 import org.lentilhinge.permit.OpenPermits;
 import org.lentilhinge.permit.OrderCount;
 import org.lentilhinge.permit.OrderCounts;
+import org.lentilhinge.permit.OwnershipAnswer;
+import org.lentilhinge.permit.OwnershipObjection;
+import org.lentilhinge.permit.OwnershipQuery;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
@@ -131,12 +135,75 @@
     OwnedEngineRunner runner = runners.get(status.incarnation());
     if (runner != null && status.owned()) {
       runner.recordOtherOwner(host, status.fencingToken());
-      if (!runner.isBusy()) {
+      if (!runner.isOwner() && !runner.isBusy()) {
         close(status.incarnation());
       }
     }
   }
 
+  /**
+   * Answers another host that is about to take an engine over or has to confirm its ownership, or
+   * passes its query on.
+   */
+  void receive(String from, OwnershipQuery query) {
+    if (!query.target().equals(context.host())) {
+      if (from.equals(query.asker())) {
+        peers.send(query.target(), query);
+      }
+      return;
+    }
+    relinquishOlderIncarnations(query.incarnation());
+    Optional<OwnershipObjection> objection = objectTo(query);
+    boolean sameHosts = query.hostsDigest() == state.candidatesDigest();
+    List<String> hosts =
+        sameHosts ? List.of() : state.hosts().candidates().stream().map(HostRecord::host).toList();
+    peers.send(
+        from,
+        new OwnershipAnswer(
+            query.asker(),
+            context.host(),
+            query.incarnation(),
+            query.round(),
+            objection,
+            state.engineSelector().claims().highestToken(query.incarnation()),
+            hosts));
+  }
+
+  private Optional<OwnershipObjection> objectTo(OwnershipQuery query) {
+    if (context.now() - lastTickAtMillis > MAXIMUM_TICK_GAP_MILLIS) {
+      // After a pause this host has not yet read what arrived meanwhile.
+      return Optional.of(new OwnershipObjection("paused", "", 0));
+    }
+    return Optional.ofNullable(runners.get(query.incarnation()))
+        .flatMap(runner -> runner.objectTo(query.asker(), query.fencingToken()))
+        .or(
+            () ->
+                state.ownershipObjection(query.incarnation(), query.asker(), query.fencingToken()));
+  }
+
+  /** Relinquishes what has ended if an engine with the same id was started later. */
+  private void relinquishOlderIncarnations(String incarnation) {
+    String prefix = incarnation.substring(0, incarnation.lastIndexOf('/') + 1);
+    long startedAtMillis = Long.parseLong(incarnation.substring(prefix.length()));
+    for (OwnedEngineRunner runner : List.copyOf(runners.values())) {
+      FleetEndpoint engine = runner.engine();
+      if (runner.isOwner()
+          && engine.incarnation().startsWith(prefix)
+          && engine.startedAtMillis() < startedAtMillis) {
+        runner.relinquish("newer-incarnation");
+      }
+    }
+  }
+
+  /** Handles the answer of another host to this host's query, or passes it on. */
+  void receive(OwnershipAnswer answer) {
+    if (!answer.asker().equals(context.host())) {
+      peers.send(answer.asker(), answer);
+    } else if (runners.containsKey(answer.incarnation())) {
+      runners.get(answer.incarnation()).receive(answer);
+    }
+  }
+
   /** Records the order count of an engine as reported by another host. */
   void recordOrderCount(OrderCount count) {
     counts.recordCount(
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -32,6 +32,8 @@
 import org.lentilhinge.permit.EngineStatuses;
 import org.lentilhinge.permit.OpenPermits;
 import org.lentilhinge.permit.OwnerStatuses;
+import org.lentilhinge.permit.OwnershipAnswer;
+import org.lentilhinge.permit.OwnershipQuery;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
@@ -352,6 +354,8 @@
         .on(PermitAnswer.class, permits::onAnswer)
         .on(PermitReturn.class, schedulers::release)
         .on(OpenPermits.class, schedulers::recoverPermits)
+        .on(OwnershipQuery.class, schedulers::receive)
+        .on(OwnershipAnswer.class, (host, answer) -> schedulers.receive(answer))
         .on(ListingNews.class, (host, news) -> follower.receive(news))
         .on(DeclarationNews.class, follower::receive)
         .on(RequestObservations.class, (host, news) -> quarantine.receive(news))
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardMessages.java
@@ -11,6 +11,8 @@
 import org.lentilhinge.path.PathQuery;
 import org.lentilhinge.permit.EngineStatuses;
 import org.lentilhinge.permit.OpenPermits;
+import org.lentilhinge.permit.OwnershipAnswer;
+import org.lentilhinge.permit.OwnershipQuery;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
@@ -48,6 +50,8 @@
         .register(23, PathQuery.class)
         .register(24, PathAnswer.class)
         .register(25, PathNews.class)
-        .register(26, OpenPermits.class);
+        .register(26, OpenPermits.class)
+        .register(27, OwnershipQuery.class)
+        .register(28, OwnershipAnswer.class);
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -1,10 +1,12 @@
 package org.lentilhinge.runtime.forward;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.lentilhinge.dispatch.EndpointPauses;
 import org.lentilhinge.dispatch.SendCondition;
 import org.lentilhinge.dispatch.SendObstacle;
@@ -18,11 +20,15 @@
 import org.lentilhinge.forward.RouteTable;
 import org.lentilhinge.forward.ZoneDistances;
 import org.lentilhinge.identity.StoreRevision;
+import org.lentilhinge.lease.RendezvousHash;
 import org.lentilhinge.limit.EndpointLimits;
 import org.lentilhinge.overlay.HostOverlay;
+import org.lentilhinge.overlay.HostRecord;
 import org.lentilhinge.path.CutOffHosts;
 import org.lentilhinge.permit.EngineSelector;
 import org.lentilhinge.permit.OwnerRanking;
+import org.lentilhinge.permit.OwnershipClaims;
+import org.lentilhinge.permit.OwnershipObjection;
 import org.lentilhinge.published.AdapterRelease;
 
 /** One host's current view of the configuration, the endpoints, the engines and other hosts. */
@@ -225,6 +231,59 @@
     stopsAtMillis = OptionalLong.of(endMillis);
   }
 
+  /** Returns the other live hosts whose word a host needs that is about to own an engine. */
+  List<String> ownershipHosts() {
+    return hosts.liveHosts().stream()
+        .filter(host -> !host.leaving() && host.answersOwnershipQueries())
+        .map(HostRecord::host)
+        .toList();
+  }
+
+  /** Returns the digest of the hosts that may own engines, which include this host. */
+  long candidatesDigest() {
+    return hosts.candidates().stream()
+        .mapToLong(host -> RendezvousHash.hash(host.host()))
+        .reduce(0, (first, second) -> first ^ second);
+  }
+
+  /** Indicates whether this host knows all of some hosts as live. */
+  boolean knowsHosts(List<String> names) {
+    if (names.isEmpty()) {
+      return true;
+    }
+    Set<String> known = new HashSet<>();
+    hosts.liveHosts().forEach(host -> known.add(host.host()));
+    known.add(context.host());
+    return known.containsAll(names);
+  }
+
+  /**
+   * Returns why a host may not own an engine, as far as this host has heard of third hosts.
+   *
+   * @param incarnation the incarnation of the engine
+   * @param host the host, which may be this one
+   * @param fencingToken the token of that host if it owns the engine, or 0 if it is about to take
+   *     the engine over
+   */
+  Optional<OwnershipObjection> ownershipObjection(
+      String incarnation, String host, long fencingToken) {
+    long now = context.now();
+    OwnershipClaims claims = engineSelector.claims();
+    if (fencingToken > 0) {
+      return claims.highestToken(incarnation) > fencingToken
+          ? Optional.of(
+              new OwnershipObjection("higher-token", "", OwnershipRules.CLAIM_MARGIN_MILLIS))
+          : Optional.empty();
+    }
+    return claims.objection(
+        incarnation,
+        host,
+        context.host(),
+        OwnershipRules.claimMillis(context.settings().bounds().leaseMillis()),
+        hosts.majority().lostAtMillis(now - OwnershipClaims.LOST_HOST_MILLIS),
+        now);
+  }
+
   /** Returns the hosts that may own an engine, the preferred one first. */
   List<String> ownerRanking(FleetEndpoint engine) {
     // Both numbers only increase, so that their sum changes with each of them.
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineLog.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineLog.java
@@ -6,6 +6,7 @@
 import org.lentilhinge.permit.AdapterOrder;
 import org.lentilhinge.permit.EngineCommand;
 import org.lentilhinge.permit.EngineOwnership;
+import org.lentilhinge.permit.OwnershipObjection;
 
 /** Writes the log lines of one engine that this host schedules. */
 final class OwnedEngineLog {
@@ -58,6 +59,22 @@
         ownership.fencingToken().orElse(0));
   }
 
+  /** Writes why this host may not own the engine at the moment. */
+  void writeObjection(String from, OwnershipObjection objection) {
+    log.line(
+        "hold-objection",
+        "engine",
+        engine.id(),
+        "from",
+        from,
+        "why",
+        objection.reason(),
+        "owner",
+        objection.host(),
+        "waitMs",
+        objection.waitMillis());
+  }
+
   private void write(String event, OwnershipEvidence evidence, Object... details) {
     List<Object> fields = withEngine(details);
     fields.addAll(evidence.fields());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -13,6 +13,8 @@
 import org.lentilhinge.permit.EngineStatus;
 import org.lentilhinge.permit.OrderCount;
 import org.lentilhinge.permit.OrderCounts;
+import org.lentilhinge.permit.OwnershipAnswer;
+import org.lentilhinge.permit.OwnershipObjection;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRecovery;
 import org.lentilhinge.permit.PermitRequest;
@@ -27,9 +29,6 @@
   /** The delay of a second report read, in milliseconds; the first may miss the latest orders. */
   private static final long SECOND_READ_DELAY_MILLIS = 400;
 
-  /** The time before a possible takeover at which a fresh revision is read, in milliseconds. */
-  private static final long REVISION_LEAD_MILLIS = 300;
-
   private static final String FIRST_READ = "opened";
 
   private final HostContext context;
@@ -40,6 +39,7 @@
   private final EngineScheduler scheduler;
   private final EngineOwnership ownership;
   private final OrderCounts counts;
+  private final OwnershipConsent consent;
   private final OwnershipRules ownershipRules;
   private final OwnedEngineLog log;
   private final DecisionTimer decisionTimer;
@@ -75,7 +75,8 @@
         new EngineOwnership(
             context.settings().bounds().leaseMillis(), RendezvousHash.hash(context.host()));
     log = new OwnedEngineLog(context.log(), engine, ownership);
-    ownershipRules = new OwnershipRules(context, state, engine, ownership, counts);
+    consent = new OwnershipConsent(context, state, peers, engine, log);
+    ownershipRules = new OwnershipRules(context, state, engine, ownership, counts, consent);
     decisionTimer =
         new DecisionTimer(
             context.vertx(), scheduler, () -> execute(scheduler.decide(context.now())));
@@ -133,10 +134,17 @@
     }
   }
 
-  /** Records that another host announced its ownership of the engine; its orders are void. */
+  /**
+   * Records that another host announced its ownership of the engine. The higher token prevails, or
+   * the other host if it states none: the orders of this host are void then.
+   */
   void recordOtherOwner(String host, long fencingToken) {
     if (ownership.isOwner()) {
       log.writeClaimHeard(host, fencingToken);
+      if (fencingToken > 0 && fencingToken < ownership.fencingToken().orElseThrow()) {
+        statuses.sendTo(host, status());
+        return;
+      }
       log.writeOwnershipLost(host);
     }
     ownership.recordOtherOwner(context.now());
@@ -173,6 +181,7 @@
     }
     recoverPermits(EndedPermits.expired(), "expired");
     execute(scheduler.decide(context.now()));
+    prepareTakeover();
     if (scheduler.isUnreachable(context.now()) && reports.isDue()) {
       reports.read("unreachable");
     }
@@ -185,17 +194,33 @@
     if (ownershipRules.isToBeRelinquished()) {
       relinquish("no-majority");
     }
+  }
+
+  private void prepareTakeover() {
     int rank = state.ownerRanking(engine).indexOf(context.host());
-    if (!ownership.isOwner() && rank >= 0) {
-      boolean inMajority = ownershipRules.isInMajority();
-      long remainingMillis = ownershipRules.remainingTakeoverMillis(rank);
-      scheduler.setCanOrderIn(remainingMillis);
-      if (inMajority && remainingMillis <= REVISION_LEAD_MILLIS) {
-        state.requestFreshRevision();
-      }
-      if (inMajority && ownership.isTakeoverDue(rank, context.now()) && reports.isDue()) {
-        reports.read("take");
-      }
+    if (ownership.isOwner() || rank < 0) {
+      return;
+    }
+    scheduler.setCanOrderIn(ownershipRules.remainingTakeoverMillis(rank));
+    if (ownershipRules.prepareTakeover(rank) && reports.isDue()) {
+      reports.read("take");
+    }
+  }
+
+  /** Returns why another host may not own the engine, as far as this host is concerned. */
+  Optional<OwnershipObjection> objectTo(String host, long fencingToken) {
+    if (ownership.isOwner() && fencingToken > ownership.fencingToken().orElseThrow()) {
+      recordOtherOwner(host, fencingToken);
+    }
+    return ownership.isOwner()
+        ? Optional.of(new OwnershipObjection(OwnershipObjection.OWNED, context.host(), 0))
+        : consent.yieldTo(host);
+  }
+
+  /** Handles the answer of a host to a query about the ownership of the engine. */
+  void receive(OwnershipAnswer answer) {
+    if (consent.receive(answer)) {
+      prepareTakeover();
     }
   }
 
@@ -225,11 +250,7 @@
     counts.recordCount(engine.incarnation(), report.acceptedOrders(), now);
     ownershipRules.useCountsOfOtherHosts(report.acceptedOrders());
     int rank = state.ownerRanking(engine).indexOf(context.host());
-    boolean acquired =
-        !wasOwner
-            && rank >= 0
-            && ownershipRules.isInMajority()
-            && ownership.tryTakeOver(rank, state.freshRevision(), now);
+    boolean acquired = !wasOwner && ownershipRules.tryTakeOver(rank);
     if (acquired) {
       log.writeTakeover(rank, state.freshRevision(), ownershipRules.evidence());
     }
@@ -317,6 +338,11 @@
     markUnreachable("order-misdirected");
   }
 
+  @Override
+  public void onSuperseded(String reason) {
+    relinquish(reason);
+  }
+
   /** Checks whether an order is complete. */
   void checkOrder(OwnedOrder order) {
     orders.check(order);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
@@ -21,7 +21,10 @@
    * The addition to the wait for a takeover after another host's claim, in milliseconds. An idle
    * owner states its ownership once a second and may be cut off just before the next claim.
    */
-  private static final long CLAIM_MARGIN_MILLIS = 300;
+  static final long CLAIM_MARGIN_MILLIS = 300;
+
+  /** The time before a possible takeover at which it is prepared, in milliseconds. */
+  private static final long PREPARATION_MILLIS = 1_000;
 
   /** The earliest retry for requests that need a host in the majority, in milliseconds. */
   private static final long ISOLATION_RETRY_MILLIS = 1_000;
@@ -31,18 +34,26 @@
   private final FleetEndpoint engine;
   private final EngineOwnership ownership;
   private final OrderCounts counts;
+  private final OwnershipConsent consent;
 
   OwnershipRules(
       HostContext context,
       HostState state,
       FleetEndpoint engine,
       EngineOwnership ownership,
-      OrderCounts counts) {
+      OrderCounts counts,
+      OwnershipConsent consent) {
     this.context = context;
     this.state = state;
     this.engine = engine;
     this.ownership = ownership;
     this.counts = counts;
+    this.consent = consent;
+  }
+
+  /** Returns the time after a claim during which its host may send orders, in milliseconds. */
+  static long claimMillis(long leaseMillis) {
+    return leaseMillis + EngineOwnership.MAXIMUM_REPORT_AGE_MILLIS + CLAIM_MARGIN_MILLIS;
   }
 
   /** Indicates whether this host may take over engines and use those that it owns when idle. */
@@ -65,9 +76,44 @@
         && state.millisWithoutMajority() > MAXIMUM_ISOLATION_MILLIS;
   }
 
+  /** Indicates whether a fencing token above that of this owner is known. */
+  boolean isSuperseded() {
+    long token = ownership.fencingToken().orElse(Long.MAX_VALUE);
+    return state.engineSelector().claims().highestToken(engine.incarnation()) > token;
+  }
+
+  /**
+   * Asks the other hosts for their consent to a takeover that is possible soon.
+   *
+   * @return whether the engine's count has to be read again, after which the takeover is possible
+   */
+  boolean prepareTakeover(int rank) {
+    if (!isInMajority()) {
+      return false;
+    }
+    if (ownership.remainingTakeoverMillis(rank, context.now()) <= PREPARATION_MILLIS) {
+      state.requestFreshRevision();
+      consent.request(0);
+    }
+    return ownership.isTakeoverDue(rank, context.now()) && consent.isGranted();
+  }
+
+  /** Takes the engine over if its count, the majority, all other hosts and the store allow it. */
+  boolean tryTakeOver(int rank) {
+    boolean allowed = !ownership.isOwner() && rank >= 0 && isInMajority() && consent.isGranted();
+    long highestToken = state.engineSelector().claims().highestToken(engine.incarnation());
+    boolean acquired =
+        allowed && ownership.tryTakeOver(rank, state.freshRevision(), highestToken, context.now());
+    if (acquired) {
+      consent.reset();
+    }
+    return acquired;
+  }
+
   /** Returns the time until the earliest possible takeover by this host, in milliseconds. */
   long remainingTakeoverMillis(int rank) {
-    long remainingMillis = ownership.remainingTakeoverMillis(rank, context.now());
+    long remainingMillis =
+        Math.max(ownership.remainingTakeoverMillis(rank, context.now()), consent.remainingMillis());
     return isInMajority() ? remainingMillis : Math.max(remainingMillis, ISOLATION_RETRY_MILLIS);
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StatusExchange.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StatusExchange.java
@@ -5,6 +5,7 @@
 import org.lentilhinge.permit.EngineStatus;
 import org.lentilhinge.permit.EngineStatuses;
 import org.lentilhinge.permit.OrderCount;
+import org.lentilhinge.permit.OwnerStatuses;
 import org.lentilhinge.permit.StatusRelay;
 
 /** Sends the statuses of this host's engines to all hosts, and passes on those of other hosts. */
@@ -31,6 +32,12 @@
             statuses, counts, state.hosts().liveHosts(), state.hosts()::isConnected, now));
   }
 
+  /** Sends the status of an engine that this host owns to a host that claims it as well. */
+  void sendTo(String host, EngineStatus status) {
+    OwnerStatuses own = new OwnerStatuses(context.host(), List.of(status), List.of());
+    peers.send(host, new EngineStatuses(List.of(own), false));
+  }
+
   /** Collects statuses that this host has to pass on. */
   void receive(EngineStatuses statuses) {
     relay.receive(statuses);
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineFixture.java
@@ -27,6 +27,9 @@
 import org.lentilhinge.permit.AdapterOrder;
 import org.lentilhinge.permit.EngineScheduler;
 import org.lentilhinge.permit.OrderCounts;
+import org.lentilhinge.permit.OwnershipAnswer;
+import org.lentilhinge.permit.OwnershipObjection;
+import org.lentilhinge.permit.OwnershipQuery;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.SchedulerSettings;
@@ -52,6 +55,7 @@
   final AtomicLong now = new AtomicLong(1_000);
   final List<AdapterOrder> orders = new ArrayList<>();
   final List<PermitAnswer> answers = new ArrayList<>();
+  final List<OwnershipQuery> queries = new ArrayList<>();
   final OrderCounts counts = new OrderCounts();
   final OwnedEngineRunner runner;
   OrderResult orderResult = OrderResult.ACCEPTED;
@@ -81,6 +85,8 @@
         (host, message) -> {
           if (message instanceof PermitAnswer answer) {
             answers.add(answer);
+          } else if (message instanceof OwnershipQuery query) {
+            queries.add(query);
           }
         };
     EngineScheduler scheduler =
@@ -130,6 +136,36 @@
     }
   }
 
+  /** Answers all queries for which no answer was given yet. */
+  void answerQueries(Optional<OwnershipObjection> objection, long highestToken) {
+    List<OwnershipQuery> open = List.copyOf(queries);
+    queries.clear();
+    for (OwnershipQuery query : open) {
+      runner.receive(
+          new OwnershipAnswer(
+              query.asker(),
+              query.target(),
+              query.incarnation(),
+              query.round(),
+              objection,
+              highestToken,
+              List.of()));
+    }
+  }
+
+  void consentToQueries() {
+    answerQueries(Optional.empty(), 0);
+  }
+
+  /** Has another host join, and tick by tick the membership and the runner run on. */
+  void runWith(String host, long millis) {
+    for (long waited = 0; waited < millis; waited += 50) {
+      receiveHeartbeat(host);
+      overlay.onTick(now.get());
+      advance(50);
+    }
+  }
+
   private void receiveHeartbeat(String host) {
     HostRecord other = new HostRecord(host, "a", "north", 1, 1, false);
     overlay.onMessage(host, new HostHeartbeat(other, 0, true), now.get());
--- /dev/null
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnershipConflictTest.java
@@ -0,0 +1,132 @@
+package org.lentilhinge.runtime.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.lentilhinge.permit.OwnershipObjection;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+/** Tests that a host owns an engine on the word of the other hosts only, on a manual clock. */
+public class OwnershipConflictTest {
+
+  private static final String OTHER = "10.0.0.2";
+
+  private final Vertx vertx = Vertx.vertx();
+  private final Context loop = vertx.getOrCreateContext();
+
+  /** Closes the event loops. */
+  @AfterClass
+  public void close() {
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  private void run(Consumer<OwnedEngineFixture> body) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    loop.runOnContext(
+        unused -> {
+          try {
+            body.accept(new OwnedEngineFixture(vertx));
+            done.complete(null);
+          } catch (AssertionError | RuntimeException failure) {
+            done.completeExceptionally(failure);
+          }
+        });
+    done.join();
+  }
+
+  // A host that had counts of an engine but no claim yet took it over beside its owner.
+  @Test
+  public void countsOfOtherHostsAloneDoNotGrantAnEngine() {
+    run(
+        fixture -> {
+          fixture.counts.recordCount("e/1", 7, fixture.now.get() - 20_000);
+          fixture.runWith(OTHER, 10_000);
+          assertFalse(fixture.runner.isOwner());
+          assertFalse(fixture.queries.isEmpty());
+        });
+  }
+
+  @Test
+  public void engineIsTakenOverWithTheWordOfAllHosts() {
+    run(
+        fixture -> {
+          fixture.runWith(OTHER, 3_000);
+          fixture.consentToQueries();
+          assertFalse(fixture.runner.isOwner());
+          fixture.runWith(OTHER, 700);
+          assertTrue(fixture.runner.isOwner());
+        });
+  }
+
+  @Test
+  public void engineOfOwnerWhoseClaimsDoNotArriveIsNotTakenOver() {
+    run(
+        fixture -> {
+          OwnershipObjection owned = new OwnershipObjection(OwnershipObjection.OWNED, OTHER, 0);
+          for (int round = 0; round < 20; round++) {
+            fixture.runWith(OTHER, 500);
+            fixture.answerQueries(Optional.of(owned), 1L << 50);
+          }
+          assertFalse(fixture.runner.isOwner());
+        });
+  }
+
+  // Two owners that heard each other's claims both relinquished the engine.
+  @Test
+  public void higherTokenPrevails() {
+    run(
+        fixture -> {
+          fixture.waitAndTakeOver();
+          long token = fixture.runner.status().fencingToken();
+          fixture.runner.recordOtherOwner(OTHER, token - 1);
+          assertTrue(fixture.runner.isOwner());
+          fixture.runner.recordOtherOwner(OTHER, token + 1);
+          assertFalse(fixture.runner.isOwner());
+        });
+  }
+
+  @Test
+  public void ownerThatLearnsOfHigherTokenSendsNoOrder() {
+    run(
+        fixture -> {
+          fixture.waitAndTakeOver();
+          long token = fixture.runner.status().fencingToken();
+          fixture.state.engineSelector().claims().recordToken("e/1", token + 1);
+          fixture.submit("x");
+          assertEquals(fixture.orders.size(), 0);
+          assertFalse(fixture.runner.isOwner());
+        });
+  }
+
+  @Test
+  public void tokenOfTakeoverIsHigherThanAllTokensKnown() {
+    run(
+        fixture -> {
+          long known = 1L << 60;
+          fixture.state.engineSelector().claims().recordToken("e/1", known);
+          fixture.waitAndTakeOver();
+          assertTrue(fixture.runner.status().fencingToken() > known);
+        });
+  }
+
+  @Test
+  public void ownerObjectsToTakeoversUnlessItsTokenIsLower() {
+    run(
+        fixture -> {
+          assertTrue(fixture.runner.objectTo(OTHER, 0).isEmpty());
+          fixture.waitAndTakeOver();
+          assertTrue(fixture.runner.objectTo(OTHER, 0).isPresent());
+          assertTrue(fixture.runner.isOwner());
+          long token = fixture.runner.status().fencingToken();
+          assertTrue(fixture.runner.objectTo(OTHER, token + 1).isEmpty());
+          assertFalse(fixture.runner.isOwner());
+        });
+  }
+}
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedHost.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedHost.java
@@ -21,6 +21,8 @@
 import org.lentilhinge.permit.EngineStatuses;
 import org.lentilhinge.permit.OpenPermits;
 import org.lentilhinge.permit.OwnerStatuses;
+import org.lentilhinge.permit.OwnershipAnswer;
+import org.lentilhinge.permit.OwnershipQuery;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
@@ -117,6 +119,8 @@
         .on(PermitAnswer.class, permits::onAnswer)
         .on(PermitReturn.class, schedulers::release)
         .on(OpenPermits.class, schedulers::recoverPermits)
+        .on(OwnershipQuery.class, schedulers::receive)
+        .on(OwnershipAnswer.class, (host, answer) -> schedulers.receive(answer))
         .on(ListingNews.class, (host, news) -> follower.receive(news))
         .on(DeclarationNews.class, follower::receive);
   }
