Date a revision of the store and a report of an engine by their request

Cause: a response was dated when it arrived. One that had waited in a socket of a starved process gave an old revision as fresh, and an unchanged count as known up to the arrival, which shortened the wait for a takeover.

Change: the age of a revision and of a report counts from the request. As slow responses need no further margin, a revision stays fresh for the lease.

Evidence: HostStateTest#revisionIsAsOldAsItsRequest; it cannot be compiled on the former code, whose recordRevision has no time: there a revision counts as read at its arrival whenever it was requested.

--- a/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
@@ -31,6 +31,7 @@
   private OptionalLong fencingToken = OptionalLong.empty();
   private OptionalLong acceptedOrders = OptionalLong.empty();
   private long unchangedSinceMillis;
+  private long lastRequestedAtMillis;
   private long lastReadAtMillis;
   private int unconfirmedOrders;
 
@@ -54,18 +55,21 @@
   }
 
   /**
-   * Records the order count that the engine reported.
+   * Records the order count that the engine reported. A response may be slow: a count that has
+   * changed is known since the response, and one that has not is known until the request.
    *
    * @param accepted the number of orders that the engine has accepted in this incarnation
+   * @param requestedAtMillis the time at which the report was requested, in milliseconds
    * @param nowMillis the current time, in milliseconds
    */
-  public void recordOrderCount(long accepted, long nowMillis) {
+  public void recordOrderCount(long accepted, long requestedAtMillis, long nowMillis) {
     if (isOwner()) {
-      checkOrderCount(accepted, nowMillis);
+      checkOrderCount(accepted, requestedAtMillis, nowMillis);
     } else if (acceptedOrders.isEmpty() || acceptedOrders.getAsLong() != accepted) {
       acceptedOrders = OptionalLong.of(accepted);
       unchangedSinceMillis = nowMillis;
     }
+    lastRequestedAtMillis = requestedAtMillis;
     lastReadAtMillis = nowMillis;
   }
 
@@ -74,9 +78,9 @@
    * order may be too old for the comparison. A count that is lower belongs to another incarnation,
    * which other hosts may have ordered since.
    */
-  private void checkOrderCount(long accepted, long nowMillis) {
+  private void checkOrderCount(long accepted, long requestedAtMillis, long nowMillis) {
     long expected = acceptedOrders.orElse(0);
-    boolean comparable = isReportComparable(nowMillis);
+    boolean comparable = isReportComparable(requestedAtMillis);
     boolean orderedElsewhere = accepted > expected + unconfirmedOrders;
     boolean restarted = comparable && accepted < expected - uncertainOrders;
     if (orderedElsewhere || restarted) {
@@ -160,7 +164,7 @@
    */
   public boolean tryTakeOver(int rank, long revision, long highestToken, long nowMillis) {
     boolean fresh = nowMillis - lastReadAtMillis <= MAXIMUM_REPORT_AGE_MILLIS;
-    if (!isOwner() && fresh && revision > 0 && isTakeoverDue(rank, nowMillis)) {
+    if (!isOwner() && fresh && revision > 0 && isTakeoverDue(rank, lastRequestedAtMillis)) {
       fencingToken = OptionalLong.of(newFencingToken(revision, highestToken));
       takeovers++;
       activeAtMillis = nowMillis;
--- a/core/src/test/java/org/lentilhinge/permit/EngineOwnershipTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineOwnershipTest.java
@@ -21,44 +21,44 @@
   @Test
   public void takesOverOnlyAfterTheCountWasUnchangedForTheLease() {
     EngineOwnership ownership = new EngineOwnership(LEASE_MILLIS, 7);
-    ownership.recordOrderCount(4, 0);
-    ownership.recordOrderCount(4, LEASE_MILLIS);
+    ownership.recordOrderCount(4, 0, 0);
+    ownership.recordOrderCount(4, LEASE_MILLIS, LEASE_MILLIS);
     assertFalse(ownership.tryTakeOver(0, 10, 0, LEASE_MILLIS));
-    ownership.recordOrderCount(5, LEASE_MILLIS + 100);
-    ownership.recordOrderCount(5, 2 * LEASE_MILLIS);
+    ownership.recordOrderCount(5, LEASE_MILLIS + 100, LEASE_MILLIS + 100);
+    ownership.recordOrderCount(5, 2 * LEASE_MILLIS, 2 * LEASE_MILLIS);
     assertFalse(ownership.tryTakeOver(0, 10, 0, 2 * LEASE_MILLIS));
-    ownership.recordOrderCount(5, 2 * LEASE_MILLIS + 500);
+    ownership.recordOrderCount(5, 2 * LEASE_MILLIS + 500, 2 * LEASE_MILLIS + 500);
     assertTrue(ownership.tryTakeOver(0, 10, 0, 2 * LEASE_MILLIS + 500));
   }
 
   @Test
   public void takesOverOnlyWithFreshReadingAndRevision() {
     EngineOwnership ownership = new EngineOwnership(LEASE_MILLIS, 7);
-    ownership.recordOrderCount(4, 0);
+    ownership.recordOrderCount(4, 0, 0);
     assertFalse(ownership.tryTakeOver(0, 10, 0, 10_000));
-    ownership.recordOrderCount(4, 10_000);
+    ownership.recordOrderCount(4, 10_000, 10_000);
     assertFalse(ownership.tryTakeOver(0, 0, 0, 10_000));
   }
 
   @Test
   public void ownerRelinquishesWhenTheCountChangesWithoutItsOrder() {
     EngineOwnership ownership = new EngineOwnership(LEASE_MILLIS, 7);
-    ownership.recordOrderCount(4, 0);
-    ownership.recordOrderCount(4, 4_000);
+    ownership.recordOrderCount(4, 0, 0);
+    ownership.recordOrderCount(4, 4_000, 4_000);
     assertTrue(ownership.tryTakeOver(0, 10, 0, 4_000));
     ownership.recordAcceptedOrder(4_100);
-    ownership.recordOrderCount(6, 5_000);
+    ownership.recordOrderCount(6, 5_000, 5_000);
     assertFalse(ownership.isOwner());
   }
 
   @Test
   public void unconfirmedOrderKeepsOwnership() {
     EngineOwnership ownership = new EngineOwnership(LEASE_MILLIS, 7);
-    ownership.recordOrderCount(4, 0);
-    ownership.recordOrderCount(4, 4_000);
+    ownership.recordOrderCount(4, 0, 0);
+    ownership.recordOrderCount(4, 4_000, 4_000);
     ownership.tryTakeOver(0, 10, 0, 4_000);
     ownership.recordUnconfirmedOrder();
-    ownership.recordOrderCount(5, 5_000);
+    ownership.recordOrderCount(5, 5_000, 5_000);
     assertTrue(ownership.isOwner());
     assertEquals(ownership.expectedOrderCount().getAsLong(), 5);
   }
@@ -75,7 +75,7 @@
         orders++;
         ownership.recordAcceptedOrder(nowMillis);
       } else {
-        ownership.recordOrderCount(orders, nowMillis);
+        ownership.recordOrderCount(orders, nowMillis, nowMillis);
       }
     }
   }
@@ -113,7 +113,7 @@
       if (ownerships[host].isOwner()) {
         engine.order(ownerships[host], host, nowMillis);
       } else {
-        ownerships[host].recordOrderCount(engine.orders, nowMillis);
+        ownerships[host].recordOrderCount(engine.orders, nowMillis, nowMillis);
         ownerships[host].tryTakeOver(host, revision, 0, nowMillis);
       }
     }
@@ -135,8 +135,8 @@
 
   private static EngineOwnership owner(long acceptedOrders) {
     EngineOwnership ownership = new EngineOwnership(LEASE_MILLIS, 7);
-    ownership.recordOrderCount(acceptedOrders, 0);
-    ownership.recordOrderCount(acceptedOrders, 4_000);
+    ownership.recordOrderCount(acceptedOrders, 0, 0);
+    ownership.recordOrderCount(acceptedOrders, 4_000, 4_000);
     assertTrue(ownership.tryTakeOver(0, 10, 0, 4_000));
     return ownership;
   }
@@ -146,9 +146,9 @@
   public void ownerRelinquishesWhenTheCountFalls() {
     EngineOwnership ownership = owner(4);
     ownership.recordAcceptedOrder(4_100);
-    ownership.recordOrderCount(4, 4_200);
+    ownership.recordOrderCount(4, 4_200, 4_200);
     assertTrue(ownership.isOwner());
-    ownership.recordOrderCount(1, 5_000);
+    ownership.recordOrderCount(1, 5_000, 5_000);
     assertFalse(ownership.isOwner());
     assertFalse(ownership.tryTakeOver(0, 10, 0, 5_000));
   }
@@ -157,10 +157,10 @@
   public void orderThatTheEngineNeedNotCountKeepsOwnership() {
     EngineOwnership ownership = owner(4);
     ownership.recordPossiblyAcceptedOrder(4_100);
-    ownership.recordOrderCount(4, 5_000);
+    ownership.recordOrderCount(4, 5_000, 5_000);
     assertTrue(ownership.isOwner());
     assertEquals(ownership.expectedOrderCount().orElseThrow(), 4);
-    ownership.recordOrderCount(3, 6_000);
+    ownership.recordOrderCount(3, 6_000, 6_000);
     assertFalse(ownership.isOwner());
   }
 }
--- a/core/src/test/java/org/lentilhinge/permit/EngineTakeoverTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineTakeoverTest.java
@@ -86,7 +86,7 @@
             ownership.unchangedSinceMillis());
       } else {
         long reported = orders(nowMillis - random.nextInt(REPORT_AGE_MILLIS));
-        ownership.recordOrderCount(reported, nowMillis);
+        ownership.recordOrderCount(reported, nowMillis, nowMillis);
         counts[host].recordCount(INCARNATION, reported, nowMillis);
         counts[host]
             .unchangedSince(INCARNATION, reported)
@@ -108,7 +108,7 @@
           sent.add(new SentOrder(nowMillis, host, ownership.fencingToken().orElseThrow()));
           ownership.recordAcceptedOrder(nowMillis);
         } else {
-          ownership.recordOrderCount(acceptedAtMillis.size(), nowMillis);
+          ownership.recordOrderCount(acceptedAtMillis.size(), nowMillis, nowMillis);
         }
       }
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineReportReader.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineReportReader.java
@@ -23,9 +23,10 @@
      * Handles a report.
      *
      * @param report the report
+     * @param requestedAtMillis the time of the request, in milliseconds
      * @param reason why the report was read
      */
-    void onReport(EngineReport report, String reason);
+    void onReport(EngineReport report, long requestedAtMillis, String reason);
 
     /** Handles a read that received no report. */
     void onNoReport();
@@ -45,14 +46,15 @@
       return;
     }
     inFlight = true;
-    lastReadAtMillis = context.now();
+    long requestedAtMillis = context.now();
+    lastReadAtMillis = requestedAtMillis;
     control
         .report(engine)
         .onComplete(
             result -> {
               inFlight = false;
               if (result.succeeded()) {
-                listener.onReport(result.result(), reason);
+                listener.onReport(result.result(), requestedAtMillis, reason);
               } else {
                 listener.onNoReport();
               }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -34,9 +34,6 @@
 /** One host's current view of the configuration, the endpoints, the engines and other hosts. */
 final class HostState {
 
-  /** The fraction of the lease during which a revision is fresh; the rest covers slow responses. */
-  private static final double FRESH_LEASE_FRACTION = 0.5;
-
   private final HostContext context;
   private final EndpointRegistry endpoints = new EndpointRegistry();
   private final EndpointScores scores = new EndpointScores();
@@ -52,7 +49,7 @@
   private Optional<ForwardConfiguration> configuration = Optional.empty();
   private RouteTable routes = new RouteTable(List.of());
   private StoreRevision storeRevision = StoreRevision.NONE;
-  private long revisionReadAtMillis;
+  private OptionalLong revisionRequestedAtMillis = OptionalLong.empty();
   private Runnable revisionReader = () -> {};
   private OptionalLong stopsAtMillis = OptionalLong.empty();
   private final Map<String, List<String>> ownerRankings = new HashMap<>();
@@ -174,10 +171,18 @@
                 context.now()));
   }
 
-  void recordRevision(StoreRevision revision) {
+  /**
+   * Records a revision that this host read itself.
+   *
+   * @param revision the revision
+   * @param requestedAtMillis the time of the request; the response may have waited in a socket
+   */
+  void recordRevision(StoreRevision revision, long requestedAtMillis) {
     if (!revision.isBefore(storeRevision)) {
       storeRevision = revision;
-      revisionReadAtMillis = context.now();
+      revisionRequestedAtMillis =
+          OptionalLong.of(
+              Math.max(revisionRequestedAtMillis.orElse(requestedAtMillis), requestedAtMillis));
     }
   }
 
@@ -199,14 +204,14 @@
    */
   long freshRevision() {
     long leaseMillis = context.settings().bounds().leaseMillis();
-    return context.now() - revisionReadAtMillis <= leaseMillis * FRESH_LEASE_FRACTION
-        ? Math.max(0, storeRevision.toNumber())
-        : 0;
+    return revisionAgeMillis() <= leaseMillis ? Math.max(0, storeRevision.toNumber()) : 0;
   }
 
-  /** Returns the age of the latest own read of the store, in milliseconds. */
+  /** Returns the age of the latest own read of the store, in milliseconds; the maximum if none. */
   long revisionAgeMillis() {
-    return context.now() - revisionReadAtMillis;
+    return revisionRequestedAtMillis.isPresent()
+        ? context.now() - revisionRequestedAtMillis.getAsLong()
+        : Long.MAX_VALUE;
   }
 
   /**
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -236,7 +236,7 @@
   }
 
   @Override
-  public void onReport(EngineReport report, String reason) {
+  public void onReport(EngineReport report, long requestedAtMillis, String reason) {
     long now = context.now();
     scheduler.markReachable();
     boolean wasOwner = ownership.isOwner();
@@ -246,7 +246,7 @@
       markUnreachable("other-incarnation");
       return;
     }
-    ownership.recordOrderCount(report.acceptedOrders(), now);
+    ownership.recordOrderCount(report.acceptedOrders(), requestedAtMillis, now);
     counts.recordCount(engine.incarnation(), report.acceptedOrders(), now);
     ownershipRules.useCountsOfOtherHosts(report.acceptedOrders());
     int rank = state.ownerRanking(engine).indexOf(context.host());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreFollower.java
@@ -99,9 +99,10 @@
   private void listEndpoints() {
     boolean forZone = isReadForZone(listingSchedule);
     listingSchedule.recordStart();
+    long startedAtMillis = clock.getAsLong();
     store
         .listEndpoints()
-        .onSuccess(listing -> onListing(listing, forZone))
+        .onSuccess(listing -> onListing(listing, forZone, startedAtMillis))
         .onFailure(
             failure -> {
               listingSchedule.recordFailure(clock.getAsLong());
@@ -114,9 +115,9 @@
     return zone.rank() == 0 || schedule.isSilent(zone.rank(), clock.getAsLong());
   }
 
-  private void onListing(EndpointListing listing, boolean forZone) {
+  private void onListing(EndpointListing listing, boolean forZone, long startedAtMillis) {
     listingSchedule.recordSuccess(clock.getAsLong());
-    listener.onRead(listing.revision());
+    listener.onRead(listing.revision(), startedAtMillis);
     Optional<ListingNews> news = knownListing.replace(listing);
     if (news.isPresent()) {
       listener.onListing(listing);
@@ -150,7 +151,7 @@
     long now = clock.getAsLong();
     declarationSchedule.recordSuccess(now);
     DeclarationNews news = knownDeclarations.update(sinceRevision, declared);
-    listener.onRead(declared.revision());
+    listener.onRead(declared.revision(), startedAtMillis);
     listener.onDeclaredState(declared, "store", now - startedAtMillis);
     loop.execute(this::startDueReads);
     return news;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreListener.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreListener.java
@@ -8,7 +8,7 @@
 interface StoreListener {
 
   /** Records a state of the store that this host has just read itself. */
-  void onRead(StoreRevision revision);
+  void onRead(StoreRevision revision, long requestedAtMillis);
 
   /** Handles a complete listing of endpoints. */
   void onListing(EndpointListing listing);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreStateUpdater.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreStateUpdater.java
@@ -49,7 +49,7 @@
   }
 
   @Override
-  public void onRead(StoreRevision revision) {
+  public void onRead(StoreRevision revision, long requestedAtMillis) {
     if (revision.era() > era) {
       // The first read of a host is no sign of a restore.
       String event = readAtAll ? "store-restored" : "store-era";
@@ -57,7 +57,7 @@
       era = revision.era();
     }
     readAtAll = true;
-    state.recordRevision(revision);
+    state.recordRevision(revision, requestedAtMillis);
   }
 
   @Override
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/HostStateTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/HostStateTest.java
@@ -133,12 +133,22 @@
   @Test
   public void freshRevisionRisesAcrossRestoreOfTheStore() {
     HostState state = state();
-    state.recordRevision(new StoreRevision(1, 500));
+    state.recordRevision(new StoreRevision(1, 500), 0);
     long former = state.freshRevision();
-    state.recordRevision(new StoreRevision(2, 300));
+    state.recordRevision(new StoreRevision(2, 300), 0);
     long restored = state.freshRevision();
     assertTrue(restored > former, former + " " + restored);
-    state.recordRevision(new StoreRevision(1, 510));
+    state.recordRevision(new StoreRevision(1, 510), 0);
     assertEquals(state.freshRevision(), restored);
   }
+
+  // A response that had waited in a socket made an old revision count as fresh.
+  @Test
+  public void revisionIsAsOldAsItsRequest() {
+    HostState state = state();
+    state.recordRevision(new StoreRevision(0, 500), -3_000);
+    assertEquals(state.freshRevision(), 0);
+    state.recordRevision(new StoreRevision(0, 501), -2_900);
+    assertEquals(state.freshRevision(), 501);
+  }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineFixture.java
@@ -80,7 +80,7 @@
             new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
             new MetricRegistry());
     state = new HostState(context, overlay);
-    state.recordRevision(new StoreRevision(0, 5));
+    state.recordRevision(new StoreRevision(0, 5), now.get());
     PeerSender peers =
         (host, message) -> {
           if (message instanceof PermitAnswer answer) {
@@ -173,7 +173,7 @@
 
   void advance(long millis) {
     now.addAndGet(millis);
-    state.recordRevision(new StoreRevision(0, 5));
+    state.recordRevision(new StoreRevision(0, 5), now.get());
     runner.tick();
   }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreFollowerTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StoreFollowerTest.java
@@ -87,7 +87,7 @@
     private final BlockingQueue<Long> versions = new LinkedBlockingQueue<>();
 
     @Override
-    public void onRead(StoreRevision revision) {
+    public void onRead(StoreRevision revision, long requestedAtMillis) {
       assertTrue(revision.revision() > 0);
     }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ZoneSimulation.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ZoneSimulation.java
@@ -240,7 +240,7 @@
     }
 
     @Override
-    public void onRead(StoreRevision revision) {}
+    public void onRead(StoreRevision revision, long requestedAtMillis) {}
 
     @Override
     public void onListing(EndpointListing listing) {}
