Count as in contact only with hosts that know this host as live

Cause: HostMajority counted every message of another host. Hosts that have lost an owner try to contact it once a second; so an owner whose own messages arrive nowhere was "in the majority" of all, and no claim reached it, because statuses go to live hosts only.

Change: only a heartbeat that says that its sender watches this host, or a probe, shows that the sender knows it as live.

HostMajorityReferenceTest modelled the former condition: its random histories now record both kinds of messages and its reference counts those that show the view of the other host.

--- a/core/src/main/java/org/lentilhinge/overlay/FailureDetector.java
+++ b/core/src/main/java/org/lentilhinge/overlay/FailureDetector.java
@@ -24,22 +24,27 @@
   /** The time for a refutation to arrive by gossip, in milliseconds. */
   private static final long REFUTATION_MILLIS = 600;
 
-  private final Map<String, Long> heardAtMillis = new HashMap<>();
+  private final Map<String, Long> acceptedAtMillis = new HashMap<>();
   private final Map<String, Long> watchedSinceMillis = new HashMap<>();
   private final Map<String, Long> probedAtMillis = new TreeMap<>();
   private final Map<String, Long> suspectedAtMillis = new TreeMap<>();
 
   void setWatched(String host, boolean watched, long nowMillis) {
     if (watched) {
+      recordAcceptance(host, nowMillis);
       watchedSinceMillis.put(host, nowMillis);
     } else {
       watchedSinceMillis.remove(host);
     }
   }
 
+  /** Records a message of a host that shows that the host knows this one as live. */
+  void recordAcceptance(String host, long nowMillis) {
+    acceptedAtMillis.put(host, nowMillis);
+  }
+
   /** Records that a host sent a message; returns whether it was suspected. */
   boolean recordContact(String host, long nowMillis) {
-    heardAtMillis.put(host, nowMillis);
     probedAtMillis.remove(host);
     watchedSinceMillis.computeIfPresent(host, (name, since) -> nowMillis);
     return clearSuspicion(host);
@@ -91,15 +96,15 @@
   }
 
   /**
-   * Counts the hosts that were heard recently.
+   * Counts the hosts that knew this host as live recently.
    *
    * @param nowMillis the monotonic time, in milliseconds
-   * @return the number of hosts for which {@link #isRecentlyHeard} holds
+   * @return the number of hosts for which {@link #isRecentlyAccepted} holds
    */
-  int recentlyHeardCount(long nowMillis) {
+  int recentlyAcceptedCount(long nowMillis) {
     int count = 0;
-    for (long heardAt : heardAtMillis.values()) {
-      if (isRecent(heardAt, nowMillis)) {
+    for (long acceptedAt : acceptedAtMillis.values()) {
+      if (isRecent(acceptedAt, nowMillis)) {
         count++;
       }
     }
@@ -107,16 +112,16 @@
   }
 
   /**
-   * Indicates whether a host sent a message itself within the time in which a silent host becomes
-   * suspected.
+   * Indicates whether a host showed that it knows this host as live, within the time in which a
+   * silent host becomes suspected.
    *
    * @param host the host's name
    * @param nowMillis the monotonic time, in milliseconds
-   * @return whether it was heard recently
+   * @return whether the host receives this host's messages or has not yet found that it does not
    */
-  boolean isRecentlyHeard(String host, long nowMillis) {
-    Long heardAt = heardAtMillis.get(host);
-    return heardAt != null && isRecent(heardAt, nowMillis);
+  boolean isRecentlyAccepted(String host, long nowMillis) {
+    Long acceptedAt = acceptedAtMillis.get(host);
+    return acceptedAt != null && isRecent(acceptedAt, nowMillis);
   }
 
   private static boolean isRecent(long atMillis, long nowMillis) {
@@ -131,7 +136,7 @@
   }
 
   void remove(String host) {
-    heardAtMillis.remove(host);
+    acceptedAtMillis.remove(host);
     watchedSinceMillis.remove(host);
     probedAtMillis.remove(host);
     suspectedAtMillis.remove(host);
--- a/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
@@ -70,11 +70,12 @@
   }
 
   /**
-   * Indicates whether no neighbor is silent, where the neighbors are only some of the hosts: the
-   * loss of the others is known only once it was gossiped. A silent neighbor is soon replaced.
+   * Indicates whether as many hosts know this host as live as it has neighbors, where the neighbors
+   * are only some of the hosts: the loss of the others is known only once it was gossiped. A silent
+   * neighbor is soon replaced. Hosts that have lost this one only try to contact it.
    */
   private boolean hearsNeighbors(Collection<String> neighbors, long nowMillis) {
-    return detector.recentlyHeardCount(nowMillis) >= neighbors.size();
+    return detector.recentlyAcceptedCount(nowMillis) >= neighbors.size();
   }
 
   private boolean reachesMajority(Set<String> disconnected, boolean hearsAll, long nowMillis) {
@@ -86,7 +87,7 @@
       if (!host.leaving()) {
         boolean isReached =
             !disconnected.contains(host.host())
-                && (!hearsAll || detector.isRecentlyHeard(host.host(), nowMillis));
+                && (!hearsAll || detector.isRecentlyAccepted(host.host(), nowMillis));
         (isReached ? reached : silent).add(host.host());
       }
     }
--- a/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
@@ -107,6 +107,7 @@
       onHeartbeat(heartbeat, nowMillis, commands);
     } else if (message instanceof HostProbe probe) {
       recordContact(probe.sender(), nowMillis, commands);
+      detector.recordAcceptance(from, nowMillis);
       send(from, heartbeat(neighbors.contains(from)), commands);
     } else if (message instanceof HostGossip gossip) {
       onGossip(from, gossip, nowMillis, commands);
--- a/core/src/test/java/org/lentilhinge/overlay/HostMajorityReferenceTest.java
+++ b/core/src/test/java/org/lentilhinge/overlay/HostMajorityReferenceTest.java
@@ -152,7 +152,9 @@
     }
 
     private void hear(String host) {
-      detector.recordContact(host, now);
+      // A contact alone shows nothing of the host's view and must not count.
+      detector.recordContact(names.get(random.nextInt(names.size())), now);
+      detector.recordAcceptance(host, now);
       reference.heardAtMillis.put(host, now);
     }
 
--- a/core/src/test/java/org/lentilhinge/overlay/HostMajorityTest.java
+++ b/core/src/test/java/org/lentilhinge/overlay/HostMajorityTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import org.lentilhinge.permit.OwnershipClaims;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -71,6 +72,28 @@
     assertTrue(isInMajority(simulation, isolated));
   }
 
+  // An owner that heard all hosts and was heard by none went on ordering beside its next owner.
+  @Test(dataProvider = "sizes")
+  public void hostThatNobodyHearsLosesMajorityBeforeTakeover(int size) {
+    OverlaySimulation simulation = new OverlaySimulation(size, size);
+    simulation.run(START_MILLIS);
+    String mute = simulation.names().get(size - 1);
+    List<String> others = new ArrayList<>(simulation.names());
+    others.remove(mute);
+    simulation.mute(mute);
+    while (others.stream().anyMatch(host -> simulation.view(host).contains(mute))) {
+      simulation.run(50);
+      assertTrue(simulation.now() < START_MILLIS + 10_000, "never lost");
+    }
+    simulation.run(OwnershipClaims.LOST_HOST_MILLIS);
+    for (long waited = 0; waited < 10_000; waited += 50, simulation.run(50)) {
+      assertFalse(isInMajority(simulation, mute), "after " + waited + " ms");
+    }
+    simulation.heal();
+    simulation.run(START_MILLIS);
+    assertTrue(isInMajority(simulation, mute));
+  }
+
   // An engine that joined while hosts were cut off from each other was ordered by both parts.
   @Test
   public void onePartAtMostIsMajority() {
--- a/core/src/test/java/org/lentilhinge/overlay/OverlaySimulation.java
+++ b/core/src/test/java/org/lentilhinge/overlay/OverlaySimulation.java
@@ -22,6 +22,7 @@
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final List<String> seeds = new ArrayList<>();
   private final Map<String, Integer> groups = new HashMap<>();
+  private final Set<String> muteHosts = new HashSet<>();
   private double lossShare;
   private long now;
   private long sequence;
@@ -96,7 +97,13 @@
     groups.put(name, 1 + names().indexOf(name));
   }
 
+  /** Loses all messages of a host, which receives those of the others. */
+  void mute(String name) {
+    muteHosts.add(name);
+  }
+
   void heal() {
+    muteHosts.clear();
     names().forEach(name -> groups.put(name, 0));
   }
 
@@ -166,7 +173,10 @@
   private void send(String from, String to, PeerMessage message) {
     sentMessages++;
     sentByKind.merge(message.getClass().getSimpleName(), 1L, Long::sum);
-    boolean lost = random.nextDouble() < lossShare || !groups.get(from).equals(groups.get(to));
+    boolean lost =
+        random.nextDouble() < lossShare
+            || muteHosts.contains(from)
+            || !groups.get(from).equals(groups.get(to));
     if (!lost) {
       at(now + 1 + random.nextInt(60), () -> deliver(from, to, message));
     }
