Claim an engine until its ownership ends, also while it does not answer

Cause: while an engine did not answer, the status of its owner stated that it owned nothing. All other hosts dropped its claim, but the owner kept its token and went on once the engine answered.

Change: a status states the ownership as it is. An owner whose engine has not answered for 3 s relinquishes it, so that a host that reaches it can take over.

Evidence: OwnershipConflictTest#ownerOfUnreachableEngineClaimsItUntilItRelinquishesIt; on the former code the first assertion on the status fails by reading (EngineScheduler.status returned owned=false).

--- a/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
@@ -454,7 +454,7 @@
    */
   public EngineStatus status(String incarnation, boolean owned, long nowMillis) {
     if (isUnreachable(nowMillis)) {
-      return new EngineStatus(incarnation, false, List.of(), UNREACHABLE_BACKOFF_MILLIS, 0, 0);
+      return new EngineStatus(incarnation, owned, List.of(), UNREACHABLE_BACKOFF_MILLIS, 0, 0);
     }
     return new EngineStatus(
         incarnation,
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineReportReader.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineReportReader.java
@@ -1,5 +1,6 @@
 package org.lentilhinge.runtime.forward;
 
+import java.util.OptionalLong;
 import org.lentilhinge.fleet.FleetEndpoint;
 
 /** Reads the reports of one engine, one at a time. */
@@ -15,6 +16,7 @@
   private boolean inFlight;
   private boolean closed;
   private long lastReadAtMillis;
+  private OptionalLong unreachableSinceMillis = OptionalLong.empty();
 
   /** Receives the results of the reads. */
   interface Listener {
@@ -54,6 +56,7 @@
             result -> {
               inFlight = false;
               if (result.succeeded()) {
+                unreachableSinceMillis = OptionalLong.empty();
                 listener.onReport(result.result(), requestedAtMillis, reason);
               } else {
                 listener.onNoReport();
@@ -66,6 +69,16 @@
     return context.now() - lastReadAtMillis >= READ_INTERVAL_MILLIS;
   }
 
+  /** Records that the engine did not respond, to a read or an order. */
+  void recordUnreachable() {
+    unreachableSinceMillis = OptionalLong.of(unreachableSinceMillis.orElse(context.now()));
+  }
+
+  /** Returns the time since the first failure after the last report, in milliseconds. */
+  long unreachableMillis() {
+    return context.now() - unreachableSinceMillis.orElse(context.now());
+  }
+
   void close() {
     closed = true;
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -29,6 +29,9 @@
   /** The delay of a second report read, in milliseconds; the first may miss the latest orders. */
   private static final long SECOND_READ_DELAY_MILLIS = 400;
 
+  /** The time without a response of the engine after which an owner relinquishes it, in millis. */
+  private static final long MAXIMUM_UNREACHABLE_MILLIS = 3_000;
+
   private static final String FIRST_READ = "opened";
 
   private final HostContext context;
@@ -231,6 +234,10 @@
 
   private void markUnreachable(String reason) {
     log.writeUnreachable(reason);
+    reports.recordUnreachable();
+    if (ownership.isOwner() && reports.unreachableMillis() >= MAXIMUM_UNREACHABLE_MILLIS) {
+      relinquish("engine-unreachable");
+    }
     orders.processNoReport();
     execute(scheduler.markUnreachable(context.now()));
   }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnershipConflictTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnershipConflictTest.java
@@ -116,6 +116,24 @@
         });
   }
 
+  // An owner stated that it owned nothing while its engine did not answer, and went on afterwards.
+  @Test
+  public void ownerOfUnreachableEngineClaimsItUntilItRelinquishesIt() {
+    run(
+        fixture -> {
+          fixture.waitAndTakeOver();
+          fixture.reporting = false;
+          fixture.orderResult = OrderResult.UNKNOWN;
+          fixture.submit("x");
+          assertTrue(fixture.runner.status().owned());
+          fixture.waitMillis(2_500);
+          assertEquals(fixture.runner.status().owned(), fixture.runner.isOwner());
+          fixture.waitMillis(1_000);
+          assertFalse(fixture.runner.status().owned());
+          assertFalse(fixture.runner.isOwner());
+        });
+  }
+
   @Test
   public void ownerObjectsToTakeoversUnlessItsTokenIsLower() {
     run(
