Send no order while it is open whether the last one was counted

Cause: an owner with an unanswered order took any raise of the count by one for its own, and adopted the count of the other owner. A refused order was repeated each 150 ms for up to 10 s, each time with the lower token.

Change: after an order without a response or with a conflict the owner sends none until a report that was requested 0.4 s later shows its count. If that has risen, all live hosts have to confirm the ownership first. After the lease in doubt the engine is relinquished.

Evidence: OwnershipConflictTest (three cases).

--- a/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
@@ -8,9 +8,10 @@
  * states the expected count. A host may take over an engine whose count has not changed for longer
  * than the lease, if it is in contact with the majority of the hosts. An owner whose count changed
  * without an order of its own relinquishes the engine and observes it again; so does one that is
- * idle and has lost contact with the majority. A fencing token consists of the store's revision at
- * the time of the takeover, as a number that never decreases, the order count and the host's
- * number, and is higher than all tokens known.
+ * idle and has lost contact with the majority. After an order whose result does not show whether
+ * the engine counted it, an owner is in doubt and sends none before it has compared the count. A
+ * fencing token consists of the store's revision at the time of the takeover, as a number that
+ * never decreases, the order count and the host's number, and is higher than all tokens known.
  */
 public final class EngineOwnership {
 
@@ -35,6 +36,15 @@
   private long lastReadAtMillis;
   private int unconfirmedOrders;
 
+  /** The time of the last order whose result does not show whether the engine counted it. */
+  private OptionalLong doubtSinceMillis = OptionalLong.empty();
+
+  /** The time since which this host is in doubt, if it is. */
+  private long doubtStartedAtMillis;
+
+  /** Whether the count was raised by an order that may as well be that of another host. */
+  private boolean needsConsent;
+
   /** The time of the takeover or of the last accepted order since, in milliseconds. */
   private long activeAtMillis;
 
@@ -87,6 +97,8 @@
       relinquish(nowMillis);
       acceptedOrders = OptionalLong.of(accepted);
     } else if (comparable) {
+      needsConsent |= accepted > expected;
+      doubtSinceMillis = OptionalLong.empty();
       acceptedOrders = OptionalLong.of(accepted);
       unconfirmedOrders = 0;
       uncertainOrders = 0;
@@ -116,9 +128,60 @@
 
   /**
    * Records that an order got no response, so that the engine's count may have increased by one.
+   *
+   * @param nowMillis the current time, in milliseconds
    */
-  public void recordUnconfirmedOrder() {
+  public void recordUnconfirmedOrder(long nowMillis) {
     unconfirmedOrders++;
+    recordConflict(nowMillis);
+  }
+
+  /**
+   * Records that the engine refused an order because another order is under way or because its
+   * count differs from the expected one.
+   *
+   * @param nowMillis the current time, in milliseconds
+   */
+  public void recordConflict(long nowMillis) {
+    if (!isInDoubt()) {
+      doubtStartedAtMillis = nowMillis;
+    }
+    doubtSinceMillis = OptionalLong.of(nowMillis);
+  }
+
+  /**
+   * Returns whether this host may not send an order before it has compared the count of the engine
+   * with its own or, if that was raised, has the consent of the other hosts.
+   *
+   * @return whether another host may have sent an order
+   */
+  public boolean isInDoubt() {
+    return doubtSinceMillis.isPresent() || needsConsent;
+  }
+
+  /**
+   * Returns whether the doubt has not ended for so long that another host has to own the engine.
+   *
+   * @param nowMillis the current time, in milliseconds
+   * @return whether this host has been in doubt for longer than the lease
+   */
+  public boolean isInDoubtForLong(long nowMillis) {
+    return isInDoubt() && nowMillis - doubtStartedAtMillis > leaseMillis;
+  }
+
+  /**
+   * Returns whether the count of the engine rose after an order without a response. Only the other
+   * hosts can state that none of them sent the order that was counted.
+   *
+   * @return whether this host needs the consent of the other hosts for its next order
+   */
+  public boolean needsConsent() {
+    return needsConsent;
+  }
+
+  /** Records that all other hosts consent to the ownership. */
+  public void recordConsent() {
+    needsConsent = false;
   }
 
   /**
@@ -128,7 +191,9 @@
    * @return whether the reported count can be compared with the expected one
    */
   public boolean isReportComparable(long nowMillis) {
-    return nowMillis - unchangedSinceMillis > MAXIMUM_REPORT_AGE_MILLIS;
+    long lastOrderMillis =
+        Math.max(unchangedSinceMillis, doubtSinceMillis.orElse(unchangedSinceMillis));
+    return nowMillis - lastOrderMillis > MAXIMUM_REPORT_AGE_MILLIS;
   }
 
   /**
@@ -170,6 +235,8 @@
       activeAtMillis = nowMillis;
       unconfirmedOrders = 0;
       uncertainOrders = 0;
+      doubtSinceMillis = OptionalLong.empty();
+      needsConsent = false;
     }
     return isOwner();
   }
--- a/core/src/test/java/org/lentilhinge/permit/EngineOwnershipTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineOwnershipTest.java
@@ -57,7 +57,7 @@
     ownership.recordOrderCount(4, 0, 0);
     ownership.recordOrderCount(4, 4_000, 4_000);
     ownership.tryTakeOver(0, 10, 0, 4_000);
-    ownership.recordUnconfirmedOrder();
+    ownership.recordUnconfirmedOrder(4_100);
     ownership.recordOrderCount(5, 5_000, 5_000);
     assertTrue(ownership.isOwner());
     assertEquals(ownership.expectedOrderCount().getAsLong(), 5);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
@@ -108,6 +108,10 @@
     if (!ownership.isActive(now) && (!rules.isInMajority() || listener.isUnreachable())) {
       return;
     }
+    if (ownership.isInDoubt()) {
+      resolveDoubt();
+      return;
+    }
     if (!ownership.isActive(now) && rules.needsReport()) {
       reports.read("idle-owner");
       return;
@@ -115,6 +119,17 @@
     orders.takeNext(ownership.ownershipNumber(), now).ifPresent(this::send);
   }
 
+  /** Finds out whether orders without a clear result were counted, and whose those were. */
+  void resolveDoubt() {
+    if (ownership.needsConsent()) {
+      if (rules.confirmOwnership()) {
+        sendNext();
+      }
+    } else if (ownership.isReportComparable(context.now())) {
+      reports.read("doubt");
+    }
+  }
+
   private void send(OwnedOrder order) {
     inFlight = true;
     long expectedOrderCount = ownership.expectedOrderCount().orElse(0);
@@ -172,7 +187,9 @@
       }
       case CONFLICT -> {
         orders.recordUncounted(order);
-        handleConflict(order);
+        boolean comparable = ownership.isReportComparable(now);
+        ownership.recordConflict(now);
+        handleConflict(order, comparable);
       }
       case FENCED -> {
         finish(order, false);
@@ -184,19 +201,18 @@
       }
       case UNKNOWN -> {
         orders.recordUncounted(order);
-        ownership.recordUnconfirmedOrder();
+        boolean comparable = ownership.isReportComparable(now);
+        ownership.recordUnconfirmedOrder(now);
         listener.onOrderUnanswered();
-        handleConflict(order);
+        handleConflict(order, comparable);
       }
       default -> finish(order, false);
     }
   }
 
-  /**
-   * Reads a report to compare the order counts if the report would be newer than the last order.
-   */
-  private void handleConflict(OwnedOrder order) {
-    if (ownership.isReportComparable(context.now())) {
+  /** Reads a report at once if it may show orders of another host; a later one ends the doubt. */
+  private void handleConflict(OwnedOrder order, boolean comparable) {
+    if (comparable) {
       reports.read("conflict");
     }
     scheduleCheck(order, CONFLICT_DELAY_MILLIS);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -197,6 +197,12 @@
     if (ownershipRules.isToBeRelinquished()) {
       relinquish("no-majority");
     }
+    if (ownership.isOwner() && ownership.isInDoubt()) {
+      orders.resolveDoubt();
+    }
+    if (ownership.isOwner() && ownership.isInDoubtForLong(context.now())) {
+      relinquish("unconfirmed");
+    }
   }
 
   private void prepareTakeover() {
@@ -223,6 +229,9 @@
   /** Handles the answer of a host to a query about the ownership of the engine. */
   void receive(OwnershipAnswer answer) {
     if (consent.receive(answer)) {
+      if (ownershipRules.recordConsent()) {
+        orders.sendNext();
+      }
       prepareTakeover();
     }
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
@@ -110,6 +110,22 @@
     return acquired;
   }
 
+  /** Asks the other hosts to confirm an ownership in doubt; returns whether they have. */
+  boolean confirmOwnership() {
+    consent.request(ownership.fencingToken().orElseThrow());
+    return recordConsent();
+  }
+
+  /** Ends the doubt that only the other hosts can end, if they all consent. */
+  boolean recordConsent() {
+    boolean granted = ownership.isOwner() && ownership.needsConsent() && consent.isGranted();
+    if (granted) {
+      ownership.recordConsent();
+      consent.reset();
+    }
+    return granted;
+  }
+
   /** Returns the time until the earliest possible takeover by this host, in milliseconds. */
   long remainingTakeoverMillis(int rank) {
     long remainingMillis =
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnershipConflictTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnershipConflictTest.java
@@ -78,6 +78,57 @@
         });
   }
 
+  // An owner counted an order of another host as its own unanswered one and went on.
+  @Test
+  public void countRaisedAfterUnansweredOrderNeedsTheWordOfAllHosts() {
+    run(
+        fixture -> {
+          fixture.waitAndTakeOver();
+          fixture.orderResult = OrderResult.UNKNOWN;
+          fixture.submit("x");
+          assertEquals(fixture.orders.size(), 1);
+          fixture.orderResult = OrderResult.ACCEPTED;
+          fixture.orderCount = 8;
+          fixture.runWith(OTHER, 1_000);
+          fixture.submit("y");
+          assertEquals(fixture.orders.size(), 1);
+          assertTrue(fixture.runner.isOwner());
+          fixture.consentToQueries();
+          assertEquals(fixture.orders.size(), 2);
+        });
+  }
+
+  @Test
+  public void ownerWithoutTheWordOfAllHostsRelinquishesTheEngine() {
+    run(
+        fixture -> {
+          fixture.waitAndTakeOver();
+          fixture.orderResult = OrderResult.UNKNOWN;
+          fixture.submit("x");
+          fixture.orderCount = 8;
+          fixture.runWith(OTHER, 4_000);
+          assertFalse(fixture.runner.isOwner());
+          assertEquals(fixture.orders.size(), 1);
+        });
+  }
+
+  // A stale owner repeated a refused order each 150 ms.
+  @Test
+  public void refusedOrderIsNotRepeatedBeforeTheCountIsCompared() {
+    run(
+        fixture -> {
+          fixture.waitAndTakeOver();
+          fixture.orderResult = OrderResult.CONFLICT;
+          fixture.submit("x");
+          OwnedOrder refused = fixture.owned(fixture.orders.get(0));
+          fixture.advance(150);
+          fixture.runner.checkOrder(refused);
+          assertEquals(fixture.orders.size(), 1);
+          fixture.advance(300);
+          assertEquals(fixture.orders.size(), 2);
+        });
+  }
+
   // Two owners that heard each other's claims both relinquished the engine.
   @Test
   public void higherTokenPrevails() {
