Count the wait for a takeover from the last order of an owner that leaves

Cause: the stop of an owner removes its claim at once. A host whose wait since the former count was over then took the engine over by a report from before the owner's first orders.

Change: hosts that are leaving are asked as well, and a former owner objects until the lease of its last order, counted or not, has ended. A report counts only if it was requested by the age of its data after the end of the latest claim, and if no host has read a higher count.

--- a/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
@@ -36,6 +36,9 @@
   private long lastReadAtMillis;
   private int unconfirmedOrders;
 
+  /** The time at which the engine may last have received an order of this host. */
+  private OptionalLong orderedAtMillis = OptionalLong.empty();
+
   /** The time of the last order whose result does not show whether the engine counted it. */
   private OptionalLong doubtSinceMillis = OptionalLong.empty();
 
@@ -126,6 +129,28 @@
     return unchangedSinceMillis;
   }
 
+  /**
+   * Records that an order is sent or its response arrives, whatever the result.
+   *
+   * @param nowMillis the current time, in milliseconds
+   */
+  public void recordOrderUnderWay(long nowMillis) {
+    orderedAtMillis = OptionalLong.of(nowMillis);
+  }
+
+  /**
+   * Returns the time during which no other host may own the engine because of the orders that this
+   * host has sent.
+   *
+   * @param nowMillis the current time, in milliseconds
+   * @return the remaining time, in milliseconds; 0 if there is none
+   */
+  public long remainingLeaseMillis(long nowMillis) {
+    return orderedAtMillis.isEmpty()
+        ? 0
+        : Math.max(0, orderedAtMillis.getAsLong() + leaseMillis - nowMillis);
+  }
+
   /**
    * Records that an order got no response, so that the engine's count may have increased by one.
    *
@@ -254,6 +279,16 @@
         : (highestToken / HOST_NUMBERS + 1) * HOST_NUMBERS + hostNumber;
   }
 
+  /**
+   * Returns whether the last report shows the orders that were sent until some time.
+   *
+   * @param untilMillis the time, in milliseconds
+   * @return whether the report was requested by the maximum age of its data after that time
+   */
+  public boolean isReportedUntil(long untilMillis) {
+    return lastRequestedAtMillis - untilMillis > MAXIMUM_REPORT_AGE_MILLIS;
+  }
+
   /**
    * Returns the time until the earliest possible takeover.
    *
--- a/core/src/main/java/org/lentilhinge/permit/OrderCounts.java
+++ b/core/src/main/java/org/lentilhinge/permit/OrderCounts.java
@@ -51,6 +51,18 @@
         : OptionalLong.of(highest.sinceMillis());
   }
 
+  /**
+   * Returns whether a count is lower than one that is known, so that its report is older.
+   *
+   * @param incarnation the incarnation of the engine
+   * @param orders the count that was read
+   * @return whether a host has read a higher one
+   */
+  public boolean isOutdated(String incarnation, long orders) {
+    Reading highest = counts.get(incarnation);
+    return highest != null && highest.acceptedOrders() > orders;
+  }
+
   /**
    * Returns the highest known count of an engine, to be sent to other hosts.
    *
--- a/core/src/main/java/org/lentilhinge/permit/OwnershipClaims.java
+++ b/core/src/main/java/org/lentilhinge/permit/OwnershipClaims.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Stream;
 
@@ -26,6 +27,7 @@
 
   private final Map<String, Map<String, OwnershipClaim>> claims = new HashMap<>();
   private final Map<String, Long> highestTokens = new HashMap<>();
+  private final Map<String, Long> endedAtMillis = new HashMap<>();
   private final Set<String> leavingHosts = new HashSet<>();
 
   /** Creates a store without claims. */
@@ -43,7 +45,7 @@
       recordClaim(status.incarnation(), host, status.fencingToken(), nowMillis);
     } else {
       recordToken(status.incarnation(), status.fencingToken());
-      claimsOf(status.incarnation()).remove(host);
+      removeClaim(status.incarnation(), host, nowMillis);
     }
   }
 
@@ -72,6 +74,12 @@
     highestTokens.merge(incarnation, fencingToken, Math::max);
   }
 
+  private void removeClaim(String incarnation, String host, long nowMillis) {
+    if (claimsOf(incarnation).remove(host) != null) {
+      endedAtMillis.put(incarnation, nowMillis);
+    }
+  }
+
   private Map<String, OwnershipClaim> claimsOf(String incarnation) {
     return claims.computeIfAbsent(incarnation, unused -> new HashMap<>());
   }
@@ -101,6 +109,18 @@
     return highestTokens.getOrDefault(incarnation, 0L);
   }
 
+  /**
+   * Returns when the ownership of a host ended that had claimed an engine. It may have sent orders
+   * until then.
+   *
+   * @param incarnation the engine's incarnation
+   * @return the latest such time, in milliseconds; empty if no ownership is known to have ended
+   */
+  public OptionalLong endedAtMillis(String incarnation) {
+    Long endedAt = endedAtMillis.get(incarnation);
+    return endedAt == null ? OptionalLong.empty() : OptionalLong.of(endedAt);
+  }
+
   /**
    * Returns why a host may not take over an engine, as far as the claims of third hosts are
    * concerned.
@@ -146,19 +166,21 @@
    * Removes the claims of a host that is shutting down, and ignores those that arrive late.
    *
    * @param host the host, which sends no further orders
+   * @param nowMillis the current time, in milliseconds
    */
-  public void recordLeaving(String host) {
+  public void recordLeaving(String host, long nowMillis) {
     leavingHosts.add(host);
-    removeClaims(host);
+    removeClaims(host, nowMillis);
   }
 
   /**
    * Removes the claims of a host whose process has ended.
    *
    * @param host the host, which has been restarted
+   * @param nowMillis the current time, in milliseconds
    */
-  public void recordRestart(String host) {
-    removeClaims(host);
+  public void recordRestart(String host, long nowMillis) {
+    removeClaims(host, nowMillis);
   }
 
   /**
@@ -178,9 +200,10 @@
   public void removeEngine(String incarnation) {
     claims.remove(incarnation);
     highestTokens.remove(incarnation);
+    endedAtMillis.remove(incarnation);
   }
 
-  private void removeClaims(String host) {
-    claims.values().forEach(hosts -> hosts.remove(host));
+  private void removeClaims(String host, long nowMillis) {
+    claims.keySet().forEach(incarnation -> removeClaim(incarnation, host, nowMillis));
   }
 }
--- a/core/src/test/java/org/lentilhinge/permit/OwnershipClaimsTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/OwnershipClaimsTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -34,7 +35,7 @@
   public void lateClaimOfLeavingHostIsIgnored() {
     claims.recordStatus("h", owned(0), 1_000);
     assertEquals(claimedElsewhereAt(), Optional.of(1_000L));
-    claims.recordLeaving("h");
+    claims.recordLeaving("h", 1_050);
     claims.recordStatus("h", owned(0), 1_100);
     assertEquals(claimedElsewhereAt(), Optional.empty());
     claims.recordEnd("h");
@@ -47,7 +48,7 @@
     claims.recordStatus("h", owned(0), 1_000);
     claims.recordEnd("h");
     assertEquals(claimedElsewhereAt(), Optional.of(1_000L));
-    claims.recordRestart("h");
+    claims.recordRestart("h", 1_050);
     assertEquals(claimedElsewhereAt(), Optional.empty());
   }
 
@@ -98,4 +99,15 @@
     assertEquals(objection("c", Map.of("i", 9_500L), 10_400), Optional.of("host-lost"));
     assertEquals(objection("c", Map.of("i", 9_500L), 11_000), Optional.empty());
   }
+
+  // An engine was taken over by a report from before the last orders of a host that then left.
+  @Test
+  public void endOfClaimIsKnown() {
+    assertEquals(claims.endedAtMillis(ENGINE), OptionalLong.empty());
+    claims.recordLeaving("i", 900);
+    assertEquals(claims.endedAtMillis(ENGINE), OptionalLong.empty());
+    claims.recordStatus("h", owned(17), 1_000);
+    claims.recordLeaving("h", 1_100);
+    assertEquals(claims.endedAtMillis(ENGINE), OptionalLong.of(1_100));
+  }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
@@ -132,6 +132,7 @@
 
   private void send(OwnedOrder order) {
     inFlight = true;
+    ownership.recordOrderUnderWay(context.now());
     long expectedOrderCount = ownership.expectedOrderCount().orElse(0);
     long fencingToken = ownership.fencingToken().orElseThrow();
     OwnershipEvidence evidence = rules.evidence();
@@ -148,6 +149,7 @@
 
   private void processResult(OwnedOrder order, OrderResult result, OwnershipEvidence evidence) {
     inFlight = false;
+    ownership.recordOrderUnderWay(context.now());
     if (closed) {
       return;
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -160,7 +160,7 @@
             state.hosts(),
             peers::updatePeers,
             sender,
-            new OtherHostsListener(state.engineSelector(), schedulers, permits));
+            new OtherHostsListener(context, state.engineSelector(), schedulers, permits));
     PublishedStore store =
         platform.store(
             connections.storeClient(),
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -236,10 +236,13 @@
     stopsAtMillis = OptionalLong.of(endMillis);
   }
 
-  /** Returns the other live hosts whose word a host needs that is about to own an engine. */
+  /**
+   * Returns the other live hosts whose word a host needs that is about to own an engine. One that
+   * is leaving knows when it sent its last order.
+   */
   List<String> ownershipHosts() {
     return hosts.liveHosts().stream()
-        .filter(host -> !host.leaving() && host.answersOwnershipQueries())
+        .filter(HostRecord::answersOwnershipQueries)
         .map(HostRecord::host)
         .toList();
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OtherHostsListener.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OtherHostsListener.java
@@ -5,12 +5,17 @@
 /** Ends what concerns hosts that are leaving or do not respond. */
 final class OtherHostsListener implements OverlayRunner.Listener {
 
+  private final HostContext context;
   private final EngineSelector engineSelector;
   private final EngineSchedulers schedulers;
   private final PermitClient permits;
 
   OtherHostsListener(
-      EngineSelector engineSelector, EngineSchedulers schedulers, PermitClient permits) {
+      HostContext context,
+      EngineSelector engineSelector,
+      EngineSchedulers schedulers,
+      PermitClient permits) {
+    this.context = context;
     this.engineSelector = engineSelector;
     this.schedulers = schedulers;
     this.permits = permits;
@@ -21,12 +26,12 @@
     // The engines of the leaving host need a new owner. The leaving host still serves earlier
     // permit requests.
     engineSelector.removeHost(host);
-    engineSelector.claims().recordLeaving(host);
+    engineSelector.claims().recordLeaving(host, context.now());
   }
 
   @Override
   public void onProcessEnded(String host) {
-    engineSelector.claims().recordRestart(host);
+    engineSelector.claims().recordRestart(host, context.now());
   }
 
   @Override
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -221,9 +221,13 @@
     if (ownership.isOwner() && fencingToken > ownership.fencingToken().orElseThrow()) {
       recordOtherOwner(host, fencingToken);
     }
-    return ownership.isOwner()
-        ? Optional.of(new OwnershipObjection(OwnershipObjection.OWNED, context.host(), 0))
-        : consent.yieldTo(host);
+    long remainingMillis = ownership.remainingLeaseMillis(context.now());
+    if (ownership.isOwner()) {
+      return Optional.of(new OwnershipObjection(OwnershipObjection.OWNED, context.host(), 0));
+    } else if (fencingToken == 0 && remainingMillis > 0) {
+      return Optional.of(new OwnershipObjection("ordered", context.host(), remainingMillis));
+    }
+    return consent.yieldTo(host);
   }
 
   /** Handles the answer of a host to a query about the ownership of the engine. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.permit.EngineOwnership;
 import org.lentilhinge.permit.EngineSelector;
@@ -100,7 +101,12 @@
 
   /** Takes the engine over if its count, the majority, all other hosts and the store allow it. */
   boolean tryTakeOver(int rank) {
-    boolean allowed = !ownership.isOwner() && rank >= 0 && isInMajority() && consent.isGranted();
+    boolean allowed =
+        !ownership.isOwner()
+            && rank >= 0
+            && isInMajority()
+            && isCountConclusive()
+            && consent.isGranted();
     long highestToken = state.engineSelector().claims().highestToken(engine.incarnation());
     boolean acquired =
         allowed && ownership.tryTakeOver(rank, state.freshRevision(), highestToken, context.now());
@@ -110,6 +116,13 @@
     return acquired;
   }
 
+  /** Indicates whether the last report shows all orders that former owners may have sent. */
+  private boolean isCountConclusive() {
+    OptionalLong endedAt = state.engineSelector().claims().endedAtMillis(engine.incarnation());
+    return !counts.isOutdated(engine.incarnation(), ownership.expectedOrderCount().orElse(0))
+        && (endedAt.isEmpty() || ownership.isReportedUntil(endedAt.getAsLong()));
+  }
+
   /** Asks the other hosts to confirm an ownership in doubt; returns whether they have. */
   boolean confirmOwnership() {
     consent.request(ownership.fencingToken().orElseThrow());
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnershipConflictTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnershipConflictTest.java
@@ -198,4 +198,20 @@
           assertFalse(fixture.runner.isOwner());
         });
   }
+
+  // The next owner of an engine ordered it right after a host that was stopped.
+  @Test
+  public void formerOwnerObjectsUntilTheLeaseOfItsLastOrderEnds() {
+    run(
+        fixture -> {
+          fixture.waitAndTakeOver();
+          fixture.submit("x");
+          fixture.advance(1_000);
+          fixture.runner.relinquish("own-stop");
+          Optional<OwnershipObjection> objection = fixture.runner.objectTo(OTHER, 0);
+          assertEquals(objection.map(OwnershipObjection::waitMillis), Optional.of(2_000L));
+          fixture.advance(2_000);
+          assertTrue(fixture.runner.objectTo(OTHER, 0).isEmpty());
+        });
+  }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedHost.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedHost.java
@@ -96,7 +96,7 @@
             state.hosts(),
             addresses -> {},
             sender,
-            new OtherHostsListener(state.engineSelector(), schedulers, permits));
+            new OtherHostsListener(context, state.engineSelector(), schedulers, permits));
     departures =
         new EndpointDepartureRunner(context, state, new EndpointDepartures(random), broadcast);
     follower =
