Test the messages between hosts of this build and of the former one

A host of the former build states no protocol and no token, reads the longer records of this build, and ignores queries; it is not asked, and its claim delays a takeover. The digest of the hosts is computed once for a round of queries.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipConsent.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipConsent.java
@@ -50,18 +50,16 @@
       return;
     }
     List<String> due = round.selectHosts(state.ownershipHosts(), now);
-    due.forEach(host -> ask(host, fencingToken));
+    if (!due.isEmpty()) {
+      long digest = state.candidatesDigest();
+      due.forEach(host -> ask(host, fencingToken, digest));
+    }
   }
 
-  private void ask(String host, long fencingToken) {
+  private void ask(String host, long fencingToken, long hostsDigest) {
     OwnershipQuery query =
         new OwnershipQuery(
-            context.host(),
-            host,
-            engine.incarnation(),
-            round.number(),
-            fencingToken,
-            state.candidatesDigest());
+            context.host(), host, engine.incarnation(), round.number(), fencingToken, hostsDigest);
     peers.send(host, query);
     round.selectHelper(context.now()).ifPresent(helper -> peers.send(helper, query));
   }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineFixture.java
@@ -66,6 +66,7 @@
   long lastPermitId;
   long orderCount = 7;
   final Map<String, Long> adapters = new HashMap<>();
+  final Map<String, Integer> protocols = new HashMap<>();
 
   final HostContext context;
   final HostOverlay overlay = ForwardFixture.overlay(ForwardFixture.settings());
@@ -167,7 +168,8 @@
   }
 
   private void receiveHeartbeat(String host) {
-    HostRecord other = new HostRecord(host, "a", "north", 1, 1, false);
+    HostRecord other =
+        new HostRecord(host, "a", "north", 1, 1, false, protocols.getOrDefault(host, 1));
     overlay.onMessage(host, new HostHeartbeat(other, 0, true), now.get());
   }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnershipConflictTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnershipConflictTest.java
@@ -6,9 +6,11 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.lentilhinge.permit.EngineStatus;
 import org.lentilhinge.permit.OwnershipObjection;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
@@ -214,4 +216,22 @@
           assertTrue(fixture.runner.objectTo(OTHER, 0).isEmpty());
         });
   }
+
+  // Beside a host of the former build, which answers no queries, no engine had an owner.
+  @Test
+  public void hostOfFormerBuildIsNotAskedButItsClaimDelaysTheTakeover() {
+    run(
+        fixture -> {
+          fixture.protocols.put(OTHER, 0);
+          EngineStatus claim = new EngineStatus("e/1", true, List.of(), 0, 6, 0);
+          fixture.runWith(OTHER, 3_000);
+          fixture.state.engineSelector().updateStatus(OTHER, claim, fixture.now.get());
+          fixture.runner.recordOtherOwner(OTHER, 0);
+          fixture.runWith(OTHER, 3_600);
+          assertFalse(fixture.runner.isOwner());
+          fixture.runWith(OTHER, 300);
+          assertTrue(fixture.runner.isOwner());
+          assertTrue(fixture.queries.isEmpty());
+        });
+  }
 }
