Mend what the review of the takeover by consent found

An engine stayed without an owner for ever (60 s in its test): the count that a former owner expected was above the engine's, and every report below it counted as outdated. A report is outdated only if it was requested less than 0.4 s after this host learned of the higher count. 2. A host asks only with a fresh revision, a known count and a reachable engine, and lets others go first after each round that gave it nothing. 3. A starved member held up takeovers for 9 to 24 s: queries were repeated each 0.3 s, a pause or a differing view ended the round. Queries are repeated each second, consent counts for 5 s, a paused host answers at its next tick, and a host whose view differs is asked again within the round. 4. (By reading.) A loss counted for nothing while an older claim of a third host remained, and a new owner was active without the majority for 1.5 s after its takeover. Any loss within 2 s is an objection; an owner is active only from its first counted order; a revision is fresh for two thirds of the lease.

An idle owner whose own ticks came late within the last 3 s may have missed a claim; it has all hosts confirm its ownership before its next order.

--- a/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
@@ -48,8 +48,8 @@
   /** Whether the count was raised by an order that may as well be that of another host. */
   private boolean needsConsent;
 
-  /** The time of the takeover or of the last accepted order since, in milliseconds. */
-  private long activeAtMillis;
+  /** The time of the last accepted order since the takeover, in milliseconds. */
+  private OptionalLong activeAtMillis = OptionalLong.empty();
 
   /** The counted orders that the engine may not have counted, as their result already held. */
   private int uncertainOrders;
@@ -100,7 +100,9 @@
       relinquish(nowMillis);
       acceptedOrders = OptionalLong.of(accepted);
     } else if (comparable) {
-      needsConsent |= accepted > expected;
+      if (accepted > expected) {
+        requireConsent(nowMillis);
+      }
       doubtSinceMillis = OptionalLong.empty();
       acceptedOrders = OptionalLong.of(accepted);
       unconfirmedOrders = 0;
@@ -195,8 +197,8 @@
   }
 
   /**
-   * Returns whether the count of the engine rose after an order without a response. Only the other
-   * hosts can state that none of them sent the order that was counted.
+   * Returns whether only the other hosts can state that none of them owns the engine: its count
+   * rose after an order without a response, or this host may have missed their messages.
    *
    * @return whether this host needs the consent of the other hosts for its next order
    */
@@ -204,6 +206,18 @@
     return needsConsent;
   }
 
+  /**
+   * Records that this host may have missed what other hosts sent, so that it needs their consent.
+   *
+   * @param nowMillis the current time, in milliseconds
+   */
+  public void requireConsent(long nowMillis) {
+    if (!isInDoubt()) {
+      doubtStartedAtMillis = nowMillis;
+    }
+    needsConsent = true;
+  }
+
   /** Records that all other hosts consent to the ownership. */
   public void recordConsent() {
     needsConsent = false;
@@ -257,7 +271,7 @@
     if (!isOwner() && fresh && revision > 0 && isTakeoverDue(rank, lastRequestedAtMillis)) {
       fencingToken = OptionalLong.of(newFencingToken(revision, highestToken));
       takeovers++;
-      activeAtMillis = nowMillis;
+      activeAtMillis = OptionalLong.empty();
       unconfirmedOrders = 0;
       uncertainOrders = 0;
       doubtSinceMillis = OptionalLong.empty();
@@ -323,15 +337,17 @@
   }
 
   /**
-   * Returns whether no other host can have taken over since the takeover or the last accepted order
-   * of this host, whatever happened to the network. An owner that has been idle for longer may send
-   * an order only while it is in contact with the majority of the hosts, and after a new report.
+   * Returns whether no other host can have taken over since the last accepted order of this host,
+   * whatever happened to the network. An owner that has been idle for longer may send an order only
+   * while it is in contact with the majority of the hosts, and after a new report.
    *
    * @param nowMillis the current time, in milliseconds
    * @return whether this host owns the engine and was active in the last half of the lease
    */
   public boolean isActive(long nowMillis) {
-    return isOwner() && nowMillis - activeAtMillis <= leaseMillis / 2;
+    return isOwner()
+        && activeAtMillis.isPresent()
+        && nowMillis - activeAtMillis.getAsLong() <= leaseMillis / 2;
   }
 
   /**
@@ -371,7 +387,7 @@
   public void recordAcceptedOrder(long nowMillis) {
     acceptedOrders = OptionalLong.of(acceptedOrders.orElse(0) + 1);
     unchangedSinceMillis = nowMillis;
-    activeAtMillis = nowMillis;
+    activeAtMillis = OptionalLong.of(nowMillis);
   }
 
   /**
--- a/core/src/main/java/org/lentilhinge/permit/OrderCounts.java
+++ b/core/src/main/java/org/lentilhinge/permit/OrderCounts.java
@@ -26,14 +26,18 @@
    * @param orders the number of accepted orders
    * @param sinceMillis the time at which the engine is known to have had that count, in
    *     milliseconds
+   * @return whether the count is higher than all that were known
    */
-  public void recordCount(String incarnation, long orders, long sinceMillis) {
+  public boolean recordCount(String incarnation, long orders, long sinceMillis) {
     Reading former = counts.get(incarnation);
     if (former == null || former.acceptedOrders() < orders) {
       counts.put(incarnation, new Reading(orders, sinceMillis));
-    } else if (former.acceptedOrders() == orders) {
+      return true;
+    }
+    if (former.acceptedOrders() == orders) {
       counts.put(incarnation, new Reading(orders, Math.min(former.sinceMillis(), sinceMillis)));
     }
+    return false;
   }
 
   /**
@@ -51,18 +55,6 @@
         : OptionalLong.of(highest.sinceMillis());
   }
 
-  /**
-   * Returns whether a count is lower than one that is known, so that its report is older.
-   *
-   * @param incarnation the incarnation of the engine
-   * @param orders the count that was read
-   * @return whether a host has read a higher one
-   */
-  public boolean isOutdated(String incarnation, long orders) {
-    Reading highest = counts.get(incarnation);
-    return highest != null && highest.acceptedOrders() > orders;
-  }
-
   /**
    * Returns the highest known count of an engine, to be sent to other hosts.
    *
--- a/core/src/main/java/org/lentilhinge/permit/OwnershipClaims.java
+++ b/core/src/main/java/org/lentilhinge/permit/OwnershipClaims.java
@@ -16,18 +16,18 @@
 public final class OwnershipClaims {
 
   /**
-   * The time after the loss of a host during which an engine that it may own is not taken over, in
-   * milliseconds. An owner that is idle orders only while its neighbors know it as live, by their
-   * heartbeats of the last 1.4 s.
+   * The time after the loss of a host, which may own any engine, during which no engine is taken
+   * over, in milliseconds. An owner that is idle orders only while its neighbors know it as live,
+   * by their heartbeats of the last 1.4 s; the rest covers the way of these and of its order.
    */
-  public static final long LOST_HOST_MILLIS = 1_500;
+  public static final long LOST_HOST_MILLIS = 2_000;
 
   private static final Comparator<OwnershipClaim> BY_TIME =
       Comparator.comparingLong(OwnershipClaim::heardAtMillis);
 
   private final Map<String, Map<String, OwnershipClaim>> claims = new HashMap<>();
   private final Map<String, Long> highestTokens = new HashMap<>();
-  private final Map<String, Long> endedAtMillis = new HashMap<>();
+  private final Map<String, Long> orderedAtMillis = new HashMap<>();
   private final Set<String> leavingHosts = new HashSet<>();
 
   /** Creates a store without claims. */
@@ -76,7 +76,7 @@
 
   private void removeClaim(String incarnation, String host, long nowMillis) {
     if (claimsOf(incarnation).remove(host) != null) {
-      endedAtMillis.put(incarnation, nowMillis);
+      recordOrders(incarnation, nowMillis);
     }
   }
 
@@ -110,15 +110,25 @@
   }
 
   /**
-   * Returns when the ownership of a host ended that had claimed an engine. It may have sent orders
-   * until then.
+   * Records that other hosts may have sent orders to an engine until now.
    *
    * @param incarnation the engine's incarnation
-   * @return the latest such time, in milliseconds; empty if no ownership is known to have ended
+   * @param nowMillis the current time, in milliseconds
+   */
+  public void recordOrders(String incarnation, long nowMillis) {
+    orderedAtMillis.put(incarnation, nowMillis);
+  }
+
+  /**
+   * Returns until when other hosts may have sent orders to an engine, because the ownership of one
+   * ended or the engine's count rose.
+   *
+   * @param incarnation the engine's incarnation
+   * @return the latest such time, in milliseconds; empty if none is known
    */
-  public OptionalLong endedAtMillis(String incarnation) {
-    Long endedAt = endedAtMillis.get(incarnation);
-    return endedAt == null ? OptionalLong.empty() : OptionalLong.of(endedAt);
+  public OptionalLong orderedAtMillis(String incarnation) {
+    Long orderedAt = orderedAtMillis.get(incarnation);
+    return orderedAt == null ? OptionalLong.empty() : OptionalLong.of(orderedAt);
   }
 
   /**
@@ -150,10 +160,8 @@
       long waitMillis = claim.get().heardAtMillis() + claimMillis - nowMillis;
       return Optional.of(new OwnershipObjection("claimed", claim.get().host(), waitMillis));
     }
-    Optional<String> latestOwner = streamClaims(incarnation).max(BY_TIME).map(OwnershipClaim::host);
     return lostAtMillis.entrySet().stream()
         .filter(lost -> !lost.getKey().equals(candidate))
-        .filter(lost -> latestOwner.isEmpty() || latestOwner.get().equals(lost.getKey()))
         .filter(lost -> nowMillis - lost.getValue() < LOST_HOST_MILLIS)
         .max(Map.Entry.comparingByValue())
         .map(
@@ -200,7 +208,7 @@
   public void removeEngine(String incarnation) {
     claims.remove(incarnation);
     highestTokens.remove(incarnation);
-    endedAtMillis.remove(incarnation);
+    orderedAtMillis.remove(incarnation);
   }
 
   private void removeClaims(String host, long nowMillis) {
--- a/core/src/main/java/org/lentilhinge/permit/OwnershipRound.java
+++ b/core/src/main/java/org/lentilhinge/permit/OwnershipRound.java
@@ -20,16 +20,16 @@
    * The time after its start for which the answers of a round count, in milliseconds. No host can
    * take the engine over meanwhile without the consent of this one, which ends the round.
    */
-  private static final long VALIDITY_MILLIS = 3_000;
+  private static final long VALIDITY_MILLIS = 5_000;
 
   /** The interval at which an unanswered query is sent again, in milliseconds. */
-  private static final long REPEAT_MILLIS = 300;
+  private static final long REPEAT_MILLIS = 1_000;
 
   /**
-   * The time for which a host whose round was not answered by all hosts objects to no other host,
-   * in milliseconds. Another one may reach the host that did not answer.
+   * The time for which a host objects to no other host after a round that gave it no ownership, in
+   * milliseconds. Another one may reach the host or the engine that did not answer.
    */
-  private static final long YIELD_MILLIS = 2_000;
+  private static final long YIELD_MILLIS = 5_000;
 
   private final Map<String, Long> askedAtMillis = new HashMap<>();
   private final Set<String> consenting = new LinkedHashSet<>();
@@ -59,9 +59,7 @@
   public List<String> selectHosts(Collection<String> hosts, long nowMillis) {
     if (open && nowMillis - startedAtMillis > VALIDITY_MILLIS) {
       open = false;
-      if (!consenting.containsAll(hosts)) {
-        yieldsUntilMillis = nowMillis + YIELD_MILLIS;
-      }
+      yieldsUntilMillis = nowMillis + YIELD_MILLIS;
     }
     if (!open && nowMillis >= blockedUntilMillis) {
       start(nowMillis);
@@ -164,7 +162,7 @@
    * Returns whether this host competes with others for the engine.
    *
    * @param nowMillis the current time, in milliseconds
-   * @return whether a round is open and the last one did not go unanswered
+   * @return whether a round is open and the last one was not in vain
    */
   public boolean isCompeting(long nowMillis) {
     return open && nowMillis - startedAtMillis <= VALIDITY_MILLIS && nowMillis >= yieldsUntilMillis;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
@@ -108,6 +108,9 @@
     if (!ownership.isActive(now) && (!rules.isInMajority() || listener.isUnreachable())) {
       return;
     }
+    if (!ownership.isActive(now) && rules.needsConfirmation()) {
+      ownership.requireConsent(now);
+    }
     if (ownership.isInDoubt()) {
       resolveDoubt();
       return;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineReportReader.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineReportReader.java
@@ -74,6 +74,11 @@
     unreachableSinceMillis = OptionalLong.of(unreachableSinceMillis.orElse(context.now()));
   }
 
+  /** Indicates whether the engine has not responded since the last report. */
+  boolean isUnanswered() {
+    return unreachableSinceMillis.isPresent();
+  }
+
   /** Returns the time since the first failure after the last report, in milliseconds. */
   long unreachableMillis() {
     return context.now() - unreachableSinceMillis.orElse(context.now());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -67,6 +67,7 @@
   private final EndpointLimitRunner limits;
   private final Map<String, OwnedEngineRunner> runners = new HashMap<>();
   private final OrderCounts counts = new OrderCounts();
+  private final List<Runnable> deferredAnswers = new ArrayList<>();
   private final long createdAtMillis;
   private long lastTickAtMillis;
   private long ticks;
@@ -152,6 +153,15 @@
       }
       return;
     }
+    if (context.now() - lastTickAtMillis > MAXIMUM_TICK_GAP_MILLIS) {
+      // After a pause this host has not yet read what arrived meanwhile, nor given up its engines.
+      deferredAnswers.add(() -> answer(from, query));
+    } else {
+      answer(from, query);
+    }
+  }
+
+  private void answer(String from, OwnershipQuery query) {
     relinquishOlderIncarnations(query.incarnation());
     Optional<OwnershipObjection> objection = objectTo(query);
     boolean sameHosts = query.hostsDigest() == state.candidatesDigest();
@@ -170,10 +180,6 @@
   }
 
   private Optional<OwnershipObjection> objectTo(OwnershipQuery query) {
-    if (context.now() - lastTickAtMillis > MAXIMUM_TICK_GAP_MILLIS) {
-      // After a pause this host has not yet read what arrived meanwhile.
-      return Optional.of(new OwnershipObjection("paused", "", 0));
-    }
     return Optional.ofNullable(runners.get(query.incarnation()))
         .flatMap(runner -> runner.objectTo(query.asker(), query.fencingToken()))
         .or(
@@ -206,8 +212,11 @@
 
   /** Records the order count of an engine as reported by another host. */
   void recordOrderCount(OrderCount count) {
-    counts.recordCount(
-        count.incarnation(), count.acceptedOrders(), context.now() - count.unchangedMillis());
+    long now = context.now();
+    String incarnation = count.incarnation();
+    if (counts.recordCount(incarnation, count.acceptedOrders(), now - count.unchangedMillis())) {
+      state.engineSelector().claims().recordOrders(incarnation, now);
+    }
   }
 
   private Optional<OwnedEngineRunner> findOrCreateRunner(String incarnation) {
@@ -259,11 +268,15 @@
       context.log().line("paused", "ms", now - lastTickAtMillis);
       relinquishAll("own-pause");
     }
+    state.recordTickGap(lastTickAtMillis > 0 ? now - lastTickAtMillis : 0);
     lastTickAtMillis = now;
     if (ticks++ % TICKS_PER_CHECK == 0) {
       createResponsibleRunners(now);
     }
     List.copyOf(runners.values()).forEach(OwnedEngineRunner::tick);
+    List<Runnable> answers = List.copyOf(deferredAnswers);
+    deferredAnswers.clear();
+    answers.forEach(Runnable::run);
   }
 
   private void createResponsibleRunners(long now) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -34,6 +34,18 @@
 /** One host's current view of the configuration, the endpoints, the engines and other hosts. */
 final class HostState {
 
+  /**
+   * The fraction of the lease during which a revision is fresh. It is shorter than the time between
+   * the last takeover by a host that is cut off and the first one by another host.
+   */
+  private static final double FRESH_LEASE_FRACTION = 2.0 / 3;
+
+  /** The gap between two ticks that shows that this host handles messages late, in milliseconds. */
+  private static final long LATE_TICK_GAP_MILLIS = 300;
+
+  /** The time after a late tick for which older messages may still wait, in milliseconds. */
+  private static final long LATENESS_MILLIS = 3_000;
+
   private final HostContext context;
   private final EndpointRegistry endpoints = new EndpointRegistry();
   private final EndpointScores scores = new EndpointScores();
@@ -51,6 +63,7 @@
   private StoreRevision storeRevision = StoreRevision.NONE;
   private OptionalLong revisionRequestedAtMillis = OptionalLong.empty();
   private Runnable revisionReader = () -> {};
+  private long lateUntilMillis = Long.MIN_VALUE;
   private OptionalLong stopsAtMillis = OptionalLong.empty();
   private final Map<String, List<String>> ownerRankings = new HashMap<>();
   private long rankedGeneration = -1;
@@ -186,6 +199,18 @@
     }
   }
 
+  /** Records the time between two ticks of this host. */
+  void recordTickGap(long gapMillis) {
+    if (gapMillis > LATE_TICK_GAP_MILLIS) {
+      lateUntilMillis = context.now() + LATENESS_MILLIS;
+    }
+  }
+
+  /** Indicates whether messages of other hosts may have waited in this process for long. */
+  boolean isLate() {
+    return context.now() < lateUntilMillis;
+  }
+
   void setRevisionReader(Runnable reader) {
     revisionReader = reader;
   }
@@ -204,7 +229,9 @@
    */
   long freshRevision() {
     long leaseMillis = context.settings().bounds().leaseMillis();
-    return revisionAgeMillis() <= leaseMillis ? Math.max(0, storeRevision.toNumber()) : 0;
+    return revisionAgeMillis() <= leaseMillis * FRESH_LEASE_FRACTION
+        ? Math.max(0, storeRevision.toNumber())
+        : 0;
   }
 
   /** Returns the age of the latest own read of the store, in milliseconds; the maximum if none. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -207,7 +207,7 @@
 
   private void prepareTakeover() {
     int rank = state.ownerRanking(engine).indexOf(context.host());
-    if (ownership.isOwner() || rank < 0) {
+    if (ownership.isOwner() || rank < 0 || reports.isUnanswered()) {
       return;
     }
     scheduler.setCanOrderIn(ownershipRules.remainingTakeoverMillis(rank));
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipConsent.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipConsent.java
@@ -77,7 +77,8 @@
             objection ->
                 claims.recordClaim(engine.incarnation(), host, answer.highestToken(), now));
     if (!state.knowsHosts(answer.hosts())) {
-      recordObjection(host, answer, new OwnershipObjection("hosts-differ", host, RETRY_MILLIS));
+      // Asked again: this host or the other one is about to learn of a host.
+      log.writeObjection(host, new OwnershipObjection("hosts-differ", "", 0));
     } else if (answer.objection().isPresent()) {
       recordObjection(host, answer, answer.objection().get());
     } else {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
@@ -70,6 +70,11 @@
     return !state.hosts().majority().isWhole() && !ownership.isCountConfirmed(context.now());
   }
 
+  /** Indicates whether an idle owner may have missed that it has lost the engine. */
+  boolean needsConfirmation() {
+    return state.isLate();
+  }
+
   /** Indicates whether hosts in the majority may be about to take over this idle engine. */
   boolean isToBeRelinquished() {
     return ownership.isOwner()
@@ -89,12 +94,14 @@
    * @return whether the engine's count has to be read again, after which the takeover is possible
    */
   boolean prepareTakeover(int rank) {
-    if (!isInMajority()) {
+    if (!isInMajority() || ownership.expectedOrderCount().isEmpty()) {
       return false;
     }
     if (ownership.remainingTakeoverMillis(rank, context.now()) <= PREPARATION_MILLIS) {
       state.requestFreshRevision();
-      consent.request(0);
+      if (state.freshRevision() > 0) {
+        consent.request(0);
+      }
     }
     return ownership.isTakeoverDue(rank, context.now()) && consent.isGranted();
   }
@@ -118,9 +125,8 @@
 
   /** Indicates whether the last report shows all orders that former owners may have sent. */
   private boolean isCountConclusive() {
-    OptionalLong endedAt = state.engineSelector().claims().endedAtMillis(engine.incarnation());
-    return !counts.isOutdated(engine.incarnation(), ownership.expectedOrderCount().orElse(0))
-        && (endedAt.isEmpty() || ownership.isReportedUntil(endedAt.getAsLong()));
+    OptionalLong orderedAt = state.engineSelector().claims().orderedAtMillis(engine.incarnation());
+    return orderedAt.isEmpty() || ownership.isReportedUntil(orderedAt.getAsLong());
   }
 
   /** Asks the other hosts to confirm an ownership in doubt; returns whether they have. */
