--- a/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
@@ -107,6 +107,7 @@
       onHeartbeat(heartbeat, nowMillis, commands);
     } else if (message instanceof HostProbe probe) {
       recordContact(probe.sender(), nowMillis, commands);
+      detector.recordAcceptance(from, nowMillis);
       send(from, heartbeat(neighbors.contains(from)), commands);
     } else if (message instanceof HostGossip gossip) {
       onGossip(from, gossip, nowMillis, commands);
@@ -185,7 +186,7 @@
       return;
     }
     Optional<HostRecord> known = view.find(entry.host());
-    if (known.isPresent() && known.get().version() >= entry.version()) {
+    if (known.isPresent() && !entry.replaces(known.get())) {
       return;
     }
     view.put(entry);
@@ -427,6 +428,15 @@
     return !disconnected.contains(host);
   }
 
+  /**
+   * Returns the record of this host.
+   *
+   * @return what this host states about itself
+   */
+  public HostRecord self() {
+    return self;
+  }
+
   /**
    * Returns whether and since when this host is in the majority part of the network.
    *
--- a/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
@@ -8,14 +8,15 @@
  * states the expected count. A host may take over an engine whose count has not changed for longer
  * than the lease, if it is in contact with the majority of the hosts. An owner whose count changed
  * without an order of its own relinquishes the engine and observes it again; so does one that is
- * idle and has lost contact with the majority. A fencing token consists of the store's revision at
- * the time of the takeover, as a number that never decreases, the order count and the host's
- * number.
+ * idle and has lost contact with the majority. After an order whose result does not show whether
+ * the engine counted it, an owner is in doubt and sends none before it has compared the count. A
+ * fencing token consists of the store's revision at the time of the takeover, as a number that
+ * never decreases, the order count and the host's number, and is higher than all tokens known.
  */
 public final class EngineOwnership {
 
   /** The maximum age of the data in an engine's report, in milliseconds. */
-  private static final long MAXIMUM_REPORT_AGE_MILLIS = 400;
+  public static final long MAXIMUM_REPORT_AGE_MILLIS = 400;
 
   /** The delay of a takeover per rank, so that nearer hosts come first, in milliseconds. */
   private static final long RANK_DELAY_MILLIS = 2_000;
@@ -31,11 +32,24 @@
   private OptionalLong fencingToken = OptionalLong.empty();
   private OptionalLong acceptedOrders = OptionalLong.empty();
   private long unchangedSinceMillis;
+  private long lastRequestedAtMillis;
   private long lastReadAtMillis;
   private int unconfirmedOrders;
 
-  /** The time of the takeover or of the last accepted order since, in milliseconds. */
-  private long activeAtMillis;
+  /** The time at which the engine may last have received an order of this host. */
+  private OptionalLong orderedAtMillis = OptionalLong.empty();
+
+  /** The time of the last order whose result does not show whether the engine counted it. */
+  private OptionalLong doubtSinceMillis = OptionalLong.empty();
+
+  /** The time since which this host is in doubt, if it is. */
+  private long doubtStartedAtMillis;
+
+  /** Whether the count was raised by an order that may as well be that of another host. */
+  private boolean needsConsent;
+
+  /** The time of the last accepted order since the takeover, in milliseconds. */
+  private OptionalLong activeAtMillis = OptionalLong.empty();
 
   /** The counted orders that the engine may not have counted, as their result already held. */
   private int uncertainOrders;
@@ -54,18 +68,21 @@
   }
 
   /**
-   * Records the order count that the engine reported.
+   * Records the order count that the engine reported. A response may be slow: a count that has
+   * changed is known since the response, and one that has not is known until the request.
    *
    * @param accepted the number of orders that the engine has accepted in this incarnation
+   * @param requestedAtMillis the time at which the report was requested, in milliseconds
    * @param nowMillis the current time, in milliseconds
    */
-  public void recordOrderCount(long accepted, long nowMillis) {
+  public void recordOrderCount(long accepted, long requestedAtMillis, long nowMillis) {
     if (isOwner()) {
-      checkOrderCount(accepted, nowMillis);
+      checkOrderCount(accepted, requestedAtMillis, nowMillis);
     } else if (acceptedOrders.isEmpty() || acceptedOrders.getAsLong() != accepted) {
       acceptedOrders = OptionalLong.of(accepted);
       unchangedSinceMillis = nowMillis;
     }
+    lastRequestedAtMillis = requestedAtMillis;
     lastReadAtMillis = nowMillis;
   }
 
@@ -74,15 +91,19 @@
    * order may be too old for the comparison. A count that is lower belongs to another incarnation,
    * which other hosts may have ordered since.
    */
-  private void checkOrderCount(long accepted, long nowMillis) {
+  private void checkOrderCount(long accepted, long requestedAtMillis, long nowMillis) {
     long expected = acceptedOrders.orElse(0);
-    boolean comparable = nowMillis - unchangedSinceMillis > MAXIMUM_REPORT_AGE_MILLIS;
+    boolean comparable = isReportComparable(requestedAtMillis);
     boolean orderedElsewhere = accepted > expected + unconfirmedOrders;
     boolean restarted = comparable && accepted < expected - uncertainOrders;
     if (orderedElsewhere || restarted) {
       relinquish(nowMillis);
       acceptedOrders = OptionalLong.of(accepted);
     } else if (comparable) {
+      if (accepted > expected) {
+        requireConsent(nowMillis);
+      }
+      doubtSinceMillis = OptionalLong.empty();
       acceptedOrders = OptionalLong.of(accepted);
       unconfirmedOrders = 0;
       uncertainOrders = 0;
@@ -110,21 +131,108 @@
     return unchangedSinceMillis;
   }
 
+  /**
+   * Records that an order is sent or its response arrives, whatever the result.
+   *
+   * @param nowMillis the current time, in milliseconds
+   */
+  public void recordOrderUnderWay(long nowMillis) {
+    orderedAtMillis = OptionalLong.of(nowMillis);
+  }
+
+  /**
+   * Returns the time during which no other host may own the engine because of the orders that this
+   * host has sent.
+   *
+   * @param nowMillis the current time, in milliseconds
+   * @return the remaining time, in milliseconds; 0 if there is none
+   */
+  public long remainingLeaseMillis(long nowMillis) {
+    return orderedAtMillis.isEmpty()
+        ? 0
+        : Math.max(0, orderedAtMillis.getAsLong() + leaseMillis - nowMillis);
+  }
+
   /**
    * Records that an order got no response, so that the engine's count may have increased by one.
+   *
+   * @param nowMillis the current time, in milliseconds
    */
-  public void recordUnconfirmedOrder() {
+  public void recordUnconfirmedOrder(long nowMillis) {
     unconfirmedOrders++;
+    recordConflict(nowMillis);
   }
 
   /**
-   * Returns whether a report that is read now would be newer than this host's last order.
+   * Records that the engine refused an order because another order is under way or because its
+   * count differs from the expected one.
+   *
+   * @param nowMillis the current time, in milliseconds
+   */
+  public void recordConflict(long nowMillis) {
+    if (!isInDoubt()) {
+      doubtStartedAtMillis = nowMillis;
+    }
+    doubtSinceMillis = OptionalLong.of(nowMillis);
+  }
+
+  /**
+   * Returns whether this host may not send an order before it has compared the count of the engine
+   * with its own or, if that was raised, has the consent of the other hosts.
+   *
+   * @return whether another host may have sent an order
+   */
+  public boolean isInDoubt() {
+    return doubtSinceMillis.isPresent() || needsConsent;
+  }
+
+  /**
+   * Returns whether the doubt has not ended for so long that another host has to own the engine.
+   *
+   * @param nowMillis the current time, in milliseconds
+   * @return whether this host has been in doubt for longer than the lease
+   */
+  public boolean isInDoubtForLong(long nowMillis) {
+    return isInDoubt() && nowMillis - doubtStartedAtMillis > leaseMillis;
+  }
+
+  /**
+   * Returns whether only the other hosts can state that none of them owns the engine: its count
+   * rose after an order without a response, or this host may have missed their messages.
+   *
+   * @return whether this host needs the consent of the other hosts for its next order
+   */
+  public boolean needsConsent() {
+    return needsConsent;
+  }
+
+  /**
+   * Records that this host may have missed what other hosts sent, so that it needs their consent.
+   *
+   * @param nowMillis the current time, in milliseconds
+   */
+  public void requireConsent(long nowMillis) {
+    if (!isInDoubt()) {
+      doubtStartedAtMillis = nowMillis;
+    }
+    needsConsent = true;
+  }
+
+  /** Records that all other hosts consent to the ownership. */
+  public void recordConsent() {
+    needsConsent = false;
+  }
+
+  /**
+   * Returns whether a report that is requested now would be newer than this host's last order.
    *
    * @param nowMillis the current time, in milliseconds
    * @return whether the reported count can be compared with the expected one
    */
   public boolean isReportComparable(long nowMillis) {
-    return nowMillis - unchangedSinceMillis > MAXIMUM_REPORT_AGE_MILLIS;
+    long lastOrderMillis =
+        Math.max(unchangedSinceMillis, doubtSinceMillis.orElse(unchangedSinceMillis));
+    return nowMillis - lastOrderMillis > MAXIMUM_REPORT_AGE_MILLIS;
   }
 
   /**
@@ -154,29 +262,45 @@
    *
    * @param rank the rank of this host among those that may take over the engine; 0 is the first
    * @param revision the number of the latest state of the store that this host has read; 0 if none
+   * @param highestToken the highest fencing token that is known for the engine; 0 if none
    * @param nowMillis the current time, in milliseconds
    * @return whether this host owns the engine now
    */
-  public boolean tryTakeOver(int rank, long revision, long nowMillis) {
+  public boolean tryTakeOver(int rank, long revision, long highestToken, long nowMillis) {
     boolean fresh = nowMillis - lastReadAtMillis <= MAXIMUM_REPORT_AGE_MILLIS;
-    if (!isOwner() && fresh && revision > 0 && isTakeoverDue(rank, nowMillis)) {
-      fencingToken = OptionalLong.of(newFencingToken(revision));
+    if (!isOwner() && fresh && revision > 0 && isTakeoverDue(rank, lastRequestedAtMillis)) {
+      fencingToken = OptionalLong.of(newFencingToken(revision, highestToken));
       takeovers++;
-      activeAtMillis = nowMillis;
+      activeAtMillis = OptionalLong.empty();
       unconfirmedOrders = 0;
       uncertainOrders = 0;
+      doubtSinceMillis = OptionalLong.empty();
+      needsConsent = false;
     }
     return isOwner();
   }
 
   /**
    * Combines values that never decrease: the revision across all incarnations and the order count
-   * within one incarnation.
+   * within one incarnation. A takeover at the same revision and count as the former one needs a
+   * higher value.
+   */
+  private long newFencingToken(long revision, long highestToken) {
+    long upperPart = revision * ORDER_COUNTS + Math.min(ORDER_COUNTS - 1, acceptedOrders.orElse(0));
+    long token = upperPart * HOST_NUMBERS + hostNumber;
+    return token > highestToken
+        ? token
+        : (highestToken / HOST_NUMBERS + 1) * HOST_NUMBERS + hostNumber;
+  }
+
+  /**
+   * Returns whether the last report shows the orders that were sent until some time.
+   *
+   * @param untilMillis the time, in milliseconds
+   * @return whether the report was requested by the maximum age of its data after that time
    */
-  private long newFencingToken(long revision) {
-    return (revision * ORDER_COUNTS + Math.min(ORDER_COUNTS - 1, acceptedOrders.orElse(0)))
-            * HOST_NUMBERS
-        + hostNumber;
+  public boolean isReportedUntil(long untilMillis) {
+    return lastRequestedAtMillis - untilMillis > MAXIMUM_REPORT_AGE_MILLIS;
   }
 
   /**
@@ -213,15 +337,17 @@
   }
 
   /**
-   * Returns whether no other host can have taken over since the takeover or the last accepted order
-   * of this host, whatever happened to the network. An owner that has been idle for longer may send
-   * an order only while it is in contact with the majority of the hosts, and after a new report.
+   * Returns whether no other host can have taken over since the last accepted order of this host,
+   * whatever happened to the network. An owner that has been idle for longer may send an order only
+   * while it is in contact with the majority of the hosts, and after a new report.
    *
    * @param nowMillis the current time, in milliseconds
    * @return whether this host owns the engine and was active in the last half of the lease
    */
   public boolean isActive(long nowMillis) {
-    return isOwner() && nowMillis - activeAtMillis <= leaseMillis / 2;
+    return isOwner()
+        && activeAtMillis.isPresent()
+        && nowMillis - activeAtMillis.getAsLong() <= leaseMillis / 2;
   }
 
   /**
@@ -261,7 +387,7 @@
   public void recordAcceptedOrder(long nowMillis) {
     acceptedOrders = OptionalLong.of(acceptedOrders.orElse(0) + 1);
     unchangedSinceMillis = nowMillis;
-    activeAtMillis = nowMillis;
+    activeAtMillis = OptionalLong.of(nowMillis);
   }
 
   /**
--- a/core/src/test/java/org/lentilhinge/permit/EngineTakeoverTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineTakeoverTest.java
@@ -86,12 +86,12 @@
             ownership.unchangedSinceMillis());
       } else {
         long reported = orders(nowMillis - random.nextInt(REPORT_AGE_MILLIS));
-        ownership.recordOrderCount(reported, nowMillis);
+        ownership.recordOrderCount(reported, nowMillis, nowMillis);
         counts[host].recordCount(INCARNATION, reported, nowMillis);
         counts[host]
             .unchangedSince(INCARNATION, reported)
             .ifPresent(ownership::recordUnchangedSince);
-        ownership.tryTakeOver(0, revision, nowMillis);
+        ownership.tryTakeOver(0, revision, 0, nowMillis);
       }
       announce(host, nowMillis);
     }
@@ -108,7 +108,7 @@
           sent.add(new SentOrder(nowMillis, host, ownership.fencingToken().orElseThrow()));
           ownership.recordAcceptedOrder(nowMillis);
         } else {
-          ownership.recordOrderCount(acceptedAtMillis.size(), nowMillis);
+          ownership.recordOrderCount(acceptedAtMillis.size(), nowMillis, nowMillis);
         }
       }
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -7,12 +7,16 @@
 import java.util.Optional;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.EngineCapacity;
+import org.lentilhinge.overlay.HostRecord;
 import org.lentilhinge.permit.EndedPermits;
 import org.lentilhinge.permit.EngineScheduler;
 import org.lentilhinge.permit.EngineStatus;
 import org.lentilhinge.permit.OpenPermits;
 import org.lentilhinge.permit.OrderCount;
 import org.lentilhinge.permit.OrderCounts;
+import org.lentilhinge.permit.OwnershipAnswer;
+import org.lentilhinge.permit.OwnershipObjection;
+import org.lentilhinge.permit.OwnershipQuery;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
@@ -63,6 +67,7 @@
   private final EndpointLimitRunner limits;
   private final Map<String, OwnedEngineRunner> runners = new HashMap<>();
   private final OrderCounts counts = new OrderCounts();
+  private final List<Runnable> deferredAnswers = new ArrayList<>();
   private final long createdAtMillis;
   private long lastTickAtMillis;
   private long ticks;
@@ -130,17 +135,88 @@
   void updateStatus(String host, EngineStatus status) {
     OwnedEngineRunner runner = runners.get(status.incarnation());
     if (runner != null && status.owned()) {
-      runner.recordOtherOwner(host);
-      if (!runner.isBusy()) {
+      runner.recordOtherOwner(host, status.fencingToken());
+      if (!runner.isOwner() && !runner.isBusy()) {
         close(status.incarnation());
       }
     }
   }
 
+  /**
+   * Answers another host that is about to take an engine over or has to confirm its ownership, or
+   * passes its query on.
+   */
+  void receive(String from, OwnershipQuery query) {
+    if (!query.target().equals(context.host())) {
+      if (from.equals(query.asker())) {
+        peers.send(query.target(), query);
+      }
+      return;
+    }
+    if (context.now() - lastTickAtMillis > MAXIMUM_TICK_GAP_MILLIS) {
+      // After a pause this host has not yet read what arrived meanwhile, nor given up its engines.
+      deferredAnswers.add(() -> answer(from, query));
+    } else {
+      answer(from, query);
+    }
+  }
+
+  private void answer(String from, OwnershipQuery query) {
+    relinquishOlderIncarnations(query.incarnation());
+    Optional<OwnershipObjection> objection = objectTo(query);
+    boolean sameHosts = query.hostsDigest() == state.candidatesDigest();
+    List<String> hosts =
+        sameHosts ? List.of() : state.hosts().candidates().stream().map(HostRecord::host).toList();
+    peers.send(
+        from,
+        new OwnershipAnswer(
+            query.asker(),
+            context.host(),
+            query.incarnation(),
+            query.round(),
+            objection,
+            state.engineSelector().claims().highestToken(query.incarnation()),
+            hosts));
+  }
+
+  private Optional<OwnershipObjection> objectTo(OwnershipQuery query) {
+    return Optional.ofNullable(runners.get(query.incarnation()))
+        .flatMap(runner -> runner.objectTo(query.asker(), query.fencingToken()))
+        .or(
+            () ->
+                state.ownershipObjection(query.incarnation(), query.asker(), query.fencingToken()));
+  }
+
+  /** Relinquishes what has ended if an engine with the same id was started later. */
+  private void relinquishOlderIncarnations(String incarnation) {
+    String prefix = incarnation.substring(0, incarnation.lastIndexOf('/') + 1);
+    long startedAtMillis = Long.parseLong(incarnation.substring(prefix.length()));
+    for (OwnedEngineRunner runner : List.copyOf(runners.values())) {
+      FleetEndpoint engine = runner.engine();
+      if (runner.isOwner()
+          && engine.incarnation().startsWith(prefix)
+          && engine.startedAtMillis() < startedAtMillis) {
+        runner.relinquish("newer-incarnation");
+      }
+    }
+  }
+
+  /** Handles the answer of another host to this host's query, or passes it on. */
+  void receive(OwnershipAnswer answer) {
+    if (!answer.asker().equals(context.host())) {
+      peers.send(answer.asker(), answer);
+    } else if (runners.containsKey(answer.incarnation())) {
+      runners.get(answer.incarnation()).receive(answer);
+    }
+  }
+
   /** Records the order count of an engine as reported by another host. */
   void recordOrderCount(OrderCount count) {
-    counts.recordCount(
-        count.incarnation(), count.acceptedOrders(), context.now() - count.unchangedMillis());
+    long now = context.now();
+    String incarnation = count.incarnation();
+    if (counts.recordCount(incarnation, count.acceptedOrders(), now - count.unchangedMillis())) {
+      state.engineSelector().claims().recordOrders(incarnation, now);
+    }
   }
 
   private Optional<OwnedEngineRunner> findOrCreateRunner(String incarnation) {
@@ -192,11 +268,15 @@
       context.log().line("paused", "ms", now - lastTickAtMillis);
       relinquishAll("own-pause");
     }
+    state.recordTickGap(lastTickAtMillis > 0 ? now - lastTickAtMillis : 0);
     lastTickAtMillis = now;
     if (ticks++ % TICKS_PER_CHECK == 0) {
       createResponsibleRunners(now);
     }
     List.copyOf(runners.values()).forEach(OwnedEngineRunner::tick);
+    List<Runnable> answers = List.copyOf(deferredAnswers);
+    deferredAnswers.clear();
+    answers.forEach(Runnable::run);
   }
 
   private void createResponsibleRunners(long now) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -1,10 +1,12 @@
 package org.lentilhinge.runtime.forward;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.lentilhinge.dispatch.EndpointPauses;
 import org.lentilhinge.dispatch.SendCondition;
 import org.lentilhinge.dispatch.SendObstacle;
@@ -18,18 +20,31 @@
 import org.lentilhinge.forward.RouteTable;
 import org.lentilhinge.forward.ZoneDistances;
 import org.lentilhinge.identity.StoreRevision;
+import org.lentilhinge.lease.RendezvousHash;
 import org.lentilhinge.limit.EndpointLimits;
 import org.lentilhinge.overlay.HostOverlay;
+import org.lentilhinge.overlay.HostRecord;
 import org.lentilhinge.path.CutOffHosts;
 import org.lentilhinge.permit.EngineSelector;
 import org.lentilhinge.permit.OwnerRanking;
+import org.lentilhinge.permit.OwnershipClaims;
+import org.lentilhinge.permit.OwnershipObjection;
 import org.lentilhinge.published.AdapterRelease;
 
 /** One host's current view of the configuration, the endpoints, the engines and other hosts. */
 final class HostState {
 
-  /** The fraction of the lease during which a revision is fresh; the rest covers slow responses. */
-  private static final double FRESH_LEASE_FRACTION = 0.5;
+  /**
+   * The fraction of the lease during which a revision is fresh. It is shorter than the time between
+   * the last takeover by a host that is cut off and the first one by another host.
+   */
+  private static final double FRESH_LEASE_FRACTION = 2.0 / 3;
+
+  /** The gap between two ticks that shows that this host handles messages late, in milliseconds. */
+  private static final long LATE_TICK_GAP_MILLIS = 300;
+
+  /** The time after a late tick for which older messages may still wait, in milliseconds. */
+  private static final long LATENESS_MILLIS = 3_000;
 
   private final HostContext context;
   private final EndpointRegistry endpoints = new EndpointRegistry();
@@ -46,8 +61,9 @@
   private Optional<ForwardConfiguration> configuration = Optional.empty();
   private RouteTable routes = new RouteTable(List.of());
   private StoreRevision storeRevision = StoreRevision.NONE;
-  private long revisionReadAtMillis;
+  private OptionalLong revisionRequestedAtMillis = OptionalLong.empty();
   private Runnable revisionReader = () -> {};
+  private long lateUntilMillis = Long.MIN_VALUE;
   private OptionalLong stopsAtMillis = OptionalLong.empty();
   private final Map<String, List<String>> ownerRankings = new HashMap<>();
   private long rankedGeneration = -1;
@@ -168,13 +184,33 @@
                 context.now()));
   }
 
-  void recordRevision(StoreRevision revision) {
+  /**
+   * Records a revision that this host read itself.
+   *
+   * @param revision the revision
+   * @param requestedAtMillis the time of the request; the response may have waited in a socket
+   */
+  void recordRevision(StoreRevision revision, long requestedAtMillis) {
     if (!revision.isBefore(storeRevision)) {
       storeRevision = revision;
-      revisionReadAtMillis = context.now();
+      revisionRequestedAtMillis =
+          OptionalLong.of(
+              Math.max(revisionRequestedAtMillis.orElse(requestedAtMillis), requestedAtMillis));
+    }
+  }
+
+  /** Records the time between two ticks of this host. */
+  void recordTickGap(long gapMillis) {
+    if (gapMillis > LATE_TICK_GAP_MILLIS) {
+      lateUntilMillis = context.now() + LATENESS_MILLIS;
     }
   }
 
+  /** Indicates whether messages of other hosts may have waited in this process for long. */
+  boolean isLate() {
+    return context.now() < lateUntilMillis;
+  }
+
   void setRevisionReader(Runnable reader) {
     revisionReader = reader;
   }
@@ -193,11 +229,18 @@
    */
   long freshRevision() {
     long leaseMillis = context.settings().bounds().leaseMillis();
-    return context.now() - revisionReadAtMillis <= leaseMillis * FRESH_LEASE_FRACTION
+    return revisionAgeMillis() <= leaseMillis * FRESH_LEASE_FRACTION
         ? Math.max(0, storeRevision.toNumber())
         : 0;
   }
 
+  /** Returns the age of the latest own read of the store, in milliseconds; the maximum if none. */
+  long revisionAgeMillis() {
+    return revisionRequestedAtMillis.isPresent()
+        ? context.now() - revisionRequestedAtMillis.getAsLong()
+        : Long.MAX_VALUE;
+  }
+
   /**
    * Returns the time for which this host has not been in contact with the majority of the hosts, in
    * milliseconds; 0 if it is.
@@ -220,6 +263,62 @@
     stopsAtMillis = OptionalLong.of(endMillis);
   }
 
+  /**
+   * Returns the other live hosts whose word a host needs that is about to own an engine. One that
+   * is leaving knows when it sent its last order.
+   */
+  List<String> ownershipHosts() {
+    return hosts.liveHosts().stream()
+        .filter(HostRecord::answersOwnershipQueries)
+        .map(HostRecord::host)
+        .toList();
+  }
+
+  /** Returns the digest of the hosts that may own engines, which include this host. */
+  long candidatesDigest() {
+    return hosts.candidates().stream()
+        .mapToLong(host -> RendezvousHash.hash(host.host()))
+        .reduce(0, (first, second) -> first ^ second);
+  }
+
+  /** Indicates whether this host knows all of some hosts as live. */
+  boolean knowsHosts(List<String> names) {
+    if (names.isEmpty()) {
+      return true;
+    }
+    Set<String> known = new HashSet<>();
+    hosts.liveHosts().forEach(host -> known.add(host.host()));
+    known.add(context.host());
+    return known.containsAll(names);
+  }
+
+  /**
+   * Returns why a host may not own an engine, as far as this host has heard of third hosts.
+   *
+   * @param incarnation the incarnation of the engine
+   * @param host the host, which may be this one
+   * @param fencingToken the token of that host if it owns the engine, or 0 if it is about to take
+   *     the engine over
+   */
+  Optional<OwnershipObjection> ownershipObjection(
+      String incarnation, String host, long fencingToken) {
+    long now = context.now();
+    OwnershipClaims claims = engineSelector.claims();
+    if (fencingToken > 0) {
+      return claims.highestToken(incarnation) > fencingToken
+          ? Optional.of(
+              new OwnershipObjection("higher-token", "", OwnershipRules.CLAIM_MARGIN_MILLIS))
+          : Optional.empty();
+    }
+    return claims.objection(
+        incarnation,
+        host,
+        context.host(),
+        OwnershipRules.claimMillis(context.settings().bounds().leaseMillis()),
+        hosts.majority().lostAtMillis(now - OwnershipClaims.LOST_HOST_MILLIS),
+        now);
+  }
+
   /** Returns the hosts that may own an engine, the preferred one first. */
   List<String> ownerRanking(FleetEndpoint engine) {
     // Both numbers only increase, so that their sum changes with each of them.
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
@@ -1,10 +1,12 @@
 package org.lentilhinge.runtime.forward;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.permit.EngineOwnership;
 import org.lentilhinge.permit.EngineSelector;
 import org.lentilhinge.permit.OrderCounts;
+import org.lentilhinge.permit.OwnershipClaim;
 
 /** What the other hosts mean for the ownership of one incarnation of an engine. */
 final class OwnershipRules {
@@ -20,7 +22,10 @@
    * The addition to the wait for a takeover after another host's claim, in milliseconds. An idle
    * owner states its ownership once a second and may be cut off just before the next claim.
    */
-  private static final long CLAIM_MARGIN_MILLIS = 300;
+  static final long CLAIM_MARGIN_MILLIS = 300;
+
+  /** The time before a possible takeover at which it is prepared, in milliseconds. */
+  private static final long PREPARATION_MILLIS = 1_000;
 
   /** The earliest retry for requests that need a host in the majority, in milliseconds. */
   private static final long ISOLATION_RETRY_MILLIS = 1_000;
@@ -30,18 +35,26 @@
   private final FleetEndpoint engine;
   private final EngineOwnership ownership;
   private final OrderCounts counts;
+  private final OwnershipConsent consent;
 
   OwnershipRules(
       HostContext context,
       HostState state,
       FleetEndpoint engine,
       EngineOwnership ownership,
-      OrderCounts counts) {
+      OrderCounts counts,
+      OwnershipConsent consent) {
     this.context = context;
     this.state = state;
     this.engine = engine;
     this.ownership = ownership;
     this.counts = counts;
+    this.consent = consent;
+  }
+
+  /** Returns the time after a claim during which its host may send orders, in milliseconds. */
+  static long claimMillis(long leaseMillis) {
+    return leaseMillis + EngineOwnership.MAXIMUM_REPORT_AGE_MILLIS + CLAIM_MARGIN_MILLIS;
   }
 
   /** Indicates whether this host may take over engines and use those that it owns when idle. */
@@ -57,6 +70,11 @@
     return !state.hosts().majority().isWhole() && !ownership.isCountConfirmed(context.now());
   }
 
+  /** Indicates whether an idle owner may have missed that it has lost the engine. */
+  boolean needsConfirmation() {
+    return state.isLate();
+  }
+
   /** Indicates whether hosts in the majority may be about to take over this idle engine. */
   boolean isToBeRelinquished() {
     return ownership.isOwner()
@@ -64,9 +82,73 @@
         && state.millisWithoutMajority() > MAXIMUM_ISOLATION_MILLIS;
   }
 
+  /** Indicates whether a fencing token above that of this owner is known. */
+  boolean isSuperseded() {
+    long token = ownership.fencingToken().orElse(Long.MAX_VALUE);
+    return state.engineSelector().claims().highestToken(engine.incarnation()) > token;
+  }
+
+  /**
+   * Asks the other hosts for their consent to a takeover that is possible soon.
+   *
+   * @return whether the engine's count has to be read again, after which the takeover is possible
+   */
+  boolean prepareTakeover(int rank) {
+    if (!isInMajority() || ownership.expectedOrderCount().isEmpty()) {
+      return false;
+    }
+    if (ownership.remainingTakeoverMillis(rank, context.now()) <= PREPARATION_MILLIS) {
+      state.requestFreshRevision();
+      if (state.freshRevision() > 0) {
+        consent.request(0);
+      }
+    }
+    return ownership.isTakeoverDue(rank, context.now()) && consent.isGranted();
+  }
+
+  /** Takes the engine over if its count, the majority, all other hosts and the store allow it. */
+  boolean tryTakeOver(int rank) {
+    boolean allowed =
+        !ownership.isOwner()
+            && rank >= 0
+            && isInMajority()
+            && isCountConclusive()
+            && consent.isGranted();
+    long highestToken = state.engineSelector().claims().highestToken(engine.incarnation());
+    boolean acquired =
+        allowed && ownership.tryTakeOver(rank, state.freshRevision(), highestToken, context.now());
+    if (acquired) {
+      consent.reset();
+    }
+    return acquired;
+  }
+
+  /** Indicates whether the last report shows all orders that former owners may have sent. */
+  private boolean isCountConclusive() {
+    OptionalLong orderedAt = state.engineSelector().claims().orderedAtMillis(engine.incarnation());
+    return orderedAt.isEmpty() || ownership.isReportedUntil(orderedAt.getAsLong());
+  }
+
+  /** Asks the other hosts to confirm an ownership in doubt; returns whether they have. */
+  boolean confirmOwnership() {
+    consent.request(ownership.fencingToken().orElseThrow());
+    return recordConsent();
+  }
+
+  /** Ends the doubt that only the other hosts can end, if they all consent. */
+  boolean recordConsent() {
+    boolean granted = ownership.isOwner() && ownership.needsConsent() && consent.isGranted();
+    if (granted) {
+      ownership.recordConsent();
+      consent.reset();
+    }
+    return granted;
+  }
+
   /** Returns the time until the earliest possible takeover by this host, in milliseconds. */
   long remainingTakeoverMillis(int rank) {
-    long remainingMillis = ownership.remainingTakeoverMillis(rank, context.now());
+    long remainingMillis =
+        Math.max(ownership.remainingTakeoverMillis(rank, context.now()), consent.remainingMillis());
     return isInMajority() ? remainingMillis : Math.max(remainingMillis, ISOLATION_RETRY_MILLIS);
   }
 
@@ -77,13 +159,31 @@
   void useCountsOfOtherHosts(long acceptedOrders) {
     EngineSelector selector = state.engineSelector();
     if (!selector.isOwnedElsewhere(engine.incarnation(), context.host(), context.now())) {
-      OptionalLong claimedAt =
-          selector.claimedElsewhereAtMillis(engine.incarnation(), context.host());
       long earliestMillis =
-          claimedAt.isPresent() ? claimedAt.getAsLong() + CLAIM_MARGIN_MILLIS : Long.MIN_VALUE;
+          latestClaimElsewhere()
+              .map(claim -> claim.heardAtMillis() + CLAIM_MARGIN_MILLIS)
+              .orElse(Long.MIN_VALUE);
       counts
           .unchangedSince(engine.incarnation(), acceptedOrders)
           .ifPresent(since -> ownership.recordUnchangedSince(Math.max(since, earliestMillis)));
     }
   }
+
+  private Optional<OwnershipClaim> latestClaimElsewhere() {
+    return state.engineSelector().claims().latestElsewhere(engine.incarnation(), context.host());
+  }
+
+  /** Returns what this host knows of the ownership of the engine. */
+  OwnershipEvidence evidence() {
+    long now = context.now();
+    return new OwnershipEvidence(
+        latestClaimElsewhere(),
+        state.engineSelector().claims().highestToken(engine.incarnation()),
+        now - ownership.unchangedSinceMillis(),
+        state.hosts().liveHosts().size() + 1,
+        isInMajority(),
+        state.hosts().majority().isWhole(),
+        state.revisionAgeMillis(),
+        now);
+  }
 }
