Stop reading a stream while its caller does not accept it

Callers saw nothing; the host would have ended. A faulty server sends complete events without end, and its caller does not read them: the host wrote each event to the caller's socket without asking whether that took it, so that all of them were kept until the deadline of the request. The heap is 128 MB, and the requests of all other callers end with it.

Evidence: EndlessBytesTest.endlessEventsAreNotKeptForStalledCaller, over sockets, failed before: 42,207,529 bytes had left the endpoint within the 1.5 s of the request (bound 16,777,216: the longest body and the buffers of the operating system). It passes now. The other 22 cases of endless heads, bodies, trailers, skipped responses and events passed on the former code.

The endpoint's socket is now not read while the caller's write queue is full. Reading is switched off at the channel: a pause of the Vert.x socket would report its end before the bytes that it holds, and cut the stream (slowCallerReceivesWholeStream). The deadline ends the attempt as before.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -175,6 +175,15 @@
     }
   }
 
+  boolean isCongested() {
+    return socket.writeQueueFull();
+  }
+
+  /** Runs a task once most of what was written was sent; a later task replaces it. */
+  void onUncongested(Runnable task) {
+    socket.drainHandler(unused -> task.run());
+  }
+
   void onResponseFinished() {
     lastActivityAtMillis = server.now();
     server.onRequestFinished();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerExchange.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerExchange.java
@@ -98,6 +98,16 @@
     }
   }
 
+  /** Indicates whether the caller has not accepted much of what was written. */
+  boolean isCongested() {
+    return connection.isCongested();
+  }
+
+  /** Runs a task once the caller has accepted most of what was written. */
+  void onUncongested(Runnable task) {
+    connection.onUncongested(task);
+  }
+
   /** Completes a response that has begun. */
   void end() {
     if (!finished) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -231,12 +231,22 @@
         target.recordSurvived(request.quarantine().sharedParts(), UNKNOWN_DIGEST);
       }
       exchange.write(complete);
+      awaitCaller();
     }
     if (events.isTooLong()) {
       fail("event-too-long");
     }
   }
 
+  /** Receives no further events until the caller has accepted most of the former ones. */
+  private void awaitCaller() {
+    EndpointConnection current = connection.orElseThrow();
+    if (!finished && exchange.isCongested()) {
+      current.pause();
+      exchange.onUncongested(current::resume);
+    }
+  }
+
   private void recordEventTime() {
     long elapsedMillis = elapsedMillis();
     if (firstEventMillis == 0) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -282,6 +282,7 @@
       return;
     }
     readingResponse = false;
+    resume();
     Optional<ResponseHandler> completedHandler = handler;
     handler = Optional.empty();
     // Endpoints that have sent a response too much may send more of them.
@@ -323,6 +324,24 @@
     fail(reset ? "reset" : "closed");
   }
 
+  /**
+   * Stops reading until {@link #resume} or the end of the response, so that the endpoint cannot
+   * send more than its caller accepts. The end of the connection is not noticed meanwhile.
+   */
+  void pause() {
+    setReading(false);
+  }
+
+  /** Continues to read. */
+  void resume() {
+    setReading(true);
+  }
+
+  private void setReading(boolean reading) {
+    // A pause of the socket would let its end overtake the bytes that were received before.
+    socket.channelHandlerContext().channel().config().setAutoRead(reading);
+  }
+
   /** Closes the connection without notifying the handler of a request in flight. */
   void cancel() {
     if (handler.isPresent()) {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -43,6 +44,7 @@
 final class ForwardFixture implements AutoCloseable {
 
   private static final int SOCKET_TIMEOUT_MILLIS = 10_000;
+  private static final int NARROW_BUFFER_BYTES = 65_536;
   private static final long TICK_MILLIS = 20;
 
   private final Vertx vertx;
@@ -304,6 +306,15 @@
     return socket;
   }
 
+  /** Opens the connection of a caller that accepts few bytes before it reads them. */
+  Socket openNarrow() throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(NARROW_BUFFER_BYTES);
+    socket.connect(new InetSocketAddress("127.0.0.1", port));
+    socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+    return socket;
+  }
+
   /** Sends a request on a new connection; returns all bytes received until the host closes it. */
   String send(String request) throws IOException {
     try (Socket socket = open()) {
