Count and log the responses that exceed a bound, for each endpoint

Callers of an endpoint that sends bytes without end saw 502. Only the why= of each attempt told the operator, and a head that is too long was "not-http" like any other garbage: no count said which endpoint floods its hosts.

`response-oversized` names the endpoint and the bound, and forward_oversized_responses_ID counts them until the endpoint is gone. Such a response is no longer recorded as broken off by the endpoint, as this host has ended it: the parts of its prompt must not be blamed for it.

EndlessBytesTest checks the count in all of its cases; the counter did not exist before.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -39,6 +39,18 @@
   /** The failures after which the endpoint may have crashed. */
   static final Set<String> CONNECTION_ENDED = Set.of("closed", "reset", "write-failed");
 
+  private static final String BODY_TOO_LONG = "body-too-long";
+  private static final String EVENT_TOO_LONG = "event-too-long";
+
+  /** The failures of responses that this host gave up because they exceeded a bound. */
+  private static final Set<String> OVERSIZED =
+      Set.of(
+          BODY_TOO_LONG,
+          EVENT_TOO_LONG,
+          EndpointConnection.HEAD_TOO_LONG,
+          EndpointConnection.ENDLESS_RESPONSE,
+          EndpointConnection.ENDLESS_RESPONSES);
+
   static final String NO_CONNECTION = "no-connection";
   static final String CANCELLED = "cancelled";
 
@@ -218,7 +230,7 @@
     if (!streaming) {
       body.writeBytes(part, part.readerIndex(), part.readableBytes());
       if (body.readableBytes() > MAXIMUM_BODY_BYTES) {
-        fail("body-too-long");
+        fail(BODY_TOO_LONG);
       }
       return;
     }
@@ -234,7 +246,7 @@
       awaitCaller();
     }
     if (events.isTooLong()) {
-      fail("event-too-long");
+      fail(EVENT_TOO_LONG);
     }
   }
 
@@ -337,7 +349,8 @@
   @Override
   public void onFailure(String reason) {
     if (!finished) {
-      brokenOff = true;
+      // This host has ended an oversized response, not the endpoint.
+      brokenOff = !OVERSIZED.contains(reason);
       connectionEnded = CONNECTION_ENDED.contains(reason);
       end(AttemptOutcome.UNKNOWN, reason);
     }
@@ -356,6 +369,9 @@
     unreachable = reason.equals(NO_CONNECTION);
     target.recordEnd(outcome, reason, status());
     recordConnectionUse();
+    if (OVERSIZED.contains(reason)) {
+      forwarder.recordOversizedResponse(target.name(), reason);
+    }
     if (outcome == AttemptOutcome.UNKNOWN && brokenOff) {
       recordBroken();
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -25,6 +26,16 @@
 /** A connection to an endpoint. Carries one request at a time. */
 final class EndpointConnection {
 
+  /** The failure of a response whose head, trailers or one of its lines are too long. */
+  static final String HEAD_TOO_LONG = "head-too-long";
+
+  /** The failure of a request before whose response others with too long bodies arrived. */
+  static final String ENDLESS_RESPONSE = "endless-response";
+
+  /** The failure of a request before whose response too many others arrived. */
+  static final String ENDLESS_RESPONSES = "endless-responses";
+
+  private static final String NOT_HTTP = "not-http";
   private static final int MAXIMUM_HEADER_BYTES = 65_536;
 
   /**
@@ -183,8 +194,11 @@
 
   private void onMessage(Object message) {
     try {
-      if (!(message instanceof HttpObject part) || !part.decoderResult().isSuccess()) {
-        fail("not-http");
+      if (!(message instanceof HttpObject part)) {
+        fail(NOT_HTTP);
+      } else if (!part.decoderResult().isSuccess()) {
+        boolean tooLong = part.decoderResult().cause() instanceof TooLongFrameException;
+        fail(tooLong ? HEAD_TOO_LONG : NOT_HTTP);
       } else if (handler.isEmpty()) {
         // No request is in flight: these bytes could be taken for the response to the next request.
         close();
@@ -206,7 +220,7 @@
         skippingResponse = !last;
         skippedBytes += content.content().readableBytes();
         if (skippedBytes > MAXIMUM_SKIPPED_BYTES) {
-          fail("endless-response");
+          fail(ENDLESS_RESPONSE);
         }
         return;
       }
@@ -249,7 +263,7 @@
     skippingResponse = true;
     skippedResponses++;
     if (skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
-      fail("endless-responses");
+      fail(ENDLESS_RESPONSES);
     }
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -24,6 +24,9 @@
   /** The prefix of the counters of responses to other requests, one for each endpoint. */
   static final String FOREIGN_RESPONSES = "forward.foreign.responses";
 
+  /** The prefix of the counters of responses that exceeded a bound, one for each endpoint. */
+  static final String OVERSIZED_RESPONSES = "forward.oversized.responses";
+
   /** The reason of a request that a stopping host does not serve to its end. */
   static final String STOPPING = "stopping";
 
@@ -126,6 +129,12 @@
     }
   }
 
+  /** Records that a response of an endpoint was given up because it exceeded a bound. */
+  void recordOversizedResponse(String endpoint, String reason) {
+    context.log().line("response-oversized", "endpoint", endpoint, "why", reason);
+    context.metrics().counter(MetricRegistry.name(OVERSIZED_RESPONSES, endpoint)).inc();
+  }
+
   /**
    * Accepts a complete request. A request that arrives before the first read of the store is
    * buffered until that read.
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreStateUpdater.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StoreStateUpdater.java
@@ -102,9 +102,9 @@
       state.pauses().remove(incarnation);
       departures.remove(incarnation);
       pools.forEach(pool -> pool.removeAddress(change.endpoint().address()));
-      context
-          .metrics()
-          .remove(MetricRegistry.name(Forwarder.FOREIGN_RESPONSES, change.endpoint().id()));
+      String id = change.endpoint().id();
+      context.metrics().remove(MetricRegistry.name(Forwarder.FOREIGN_RESPONSES, id));
+      context.metrics().remove(MetricRegistry.name(Forwarder.OVERSIZED_RESPONSES, id));
     }
   }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/EndlessBytesTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/EndlessBytesTest.java
@@ -114,6 +114,7 @@
       assertTrue(response.startsWith(begun ? "HTTP/1.1 200" : "HTTP/1.1 502"), what + response);
       assertTrue(endless.awaitClosed(), what);
       assertTrue(sound(fixture).endsWith("sound"), what);
+      assertEquals(fixture.oversizedResponses("e0"), 1, what);
     }
     long accepted = endless.acceptedBytes();
     assertTrue(accepted <= MAXIMUM_ACCEPTED_BYTES, what + ": " + accepted + " bytes");
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -346,6 +346,12 @@
         + body;
   }
 
+  /** Returns the number of responses of an endpoint that were given up as too long. */
+  long oversizedResponses(String endpoint) {
+    String name = MetricRegistry.name(Forwarder.OVERSIZED_RESPONSES, endpoint);
+    return context.metrics().counter(name).getCount();
+  }
+
   /** Returns the number of requests that a planned stop would wait for. */
   int requestsInFlight() {
     CompletableFuture<Integer> count = new CompletableFuture<>();
