Bound the responses that a host holds, of all connections together

Callers saw nothing with one faulty server; with several, or one that many callers use, the host ended and with it all requests on it. Each response is bounded (4 MB, an event 1 MB), the sum was not: 64 slots x 98 engines x 4 MB against a heap of 128 MB. The same for complete responses that wait in the socket of a caller that does not read, and for the host's own calls (8 MB each).

ResponseMemory counts what attempts, kept failures, callers' sockets and own calls hold, with the entries of heads. Beyond a quarter of the heap the holder of the most bytes ends: an attempt with "unknown" (502, or another endpoint if it may be repeated), a kept failure is dropped, a caller that does not read loses its connection. So a host never holds more than the bound, and requests with short responses do not pay for those with endless ones.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -43,6 +43,8 @@
   private Optional<HttpRequest> incomingRequest = Optional.empty();
   private ByteBuf body = Unpooled.EMPTY_BUFFER;
   private Optional<CallerExchange> currentExchange = Optional.empty();
+  private final ResponseMemory.Share unsent;
+  private long unsentBytes;
   private boolean open = true;
   private boolean closing;
   private boolean rejecting;
@@ -52,6 +54,7 @@
     this.socket = (NetSocketInternal) socket;
     this.server = server;
     this.limits = limits;
+    this.unsent = server.openShare(this::abort);
     this.lastActivityAtMillis = nowMillis;
     HttpDecoderConfig config =
         new HttpDecoderConfig()
@@ -168,13 +171,29 @@
   }
 
   void write(Object message) {
+    int bytes = message instanceof HttpContent part ? part.content().readableBytes() : 0;
     if (open) {
-      socket.writeMessage(message);
+      recordUnsent(bytes);
+    }
+    if (open) {
+      socket.writeMessage(message).onComplete(result -> recordUnsent(-bytes));
     } else {
       ReferenceCountUtil.release(message);
     }
   }
 
+  private void recordUnsent(int bytes) {
+    unsentBytes += bytes;
+    unsent.resize(unsentBytes);
+  }
+
+  /** Closes the connection without waiting for the caller to accept what was written. */
+  private void abort() {
+    server.onResponseCut();
+    socket.channelHandlerContext().channel().close();
+    onClosed();
+  }
+
   boolean isCongested() {
     return socket.writeQueueFull();
   }
@@ -185,6 +204,9 @@
   }
 
   void onResponseFinished() {
+    if (!open) {
+      return;
+    }
     lastActivityAtMillis = server.now();
     server.onRequestFinished();
     currentExchange = Optional.empty();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerServer.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerServer.java
@@ -18,12 +18,14 @@
 public final class CallerServer {
 
   private static final int ACCEPT_BACKLOG = 1_024;
+  private static final int NO_STATUS = 0;
 
   private final NetServer server;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private final Consumer<CallerExchange> handler;
   private final BiConsumer<Integer, String> rejectionListener;
   private final LongSupplier clock;
+  private final ResponseMemory memory;
   private boolean stopping;
   private int requestsInFlight;
   private int closingConnections;
@@ -35,6 +37,7 @@
    * @param address the IP address and port to listen on
    * @param limits supplies the limits that apply to a new connection
    * @param clock the monotonic clock, in milliseconds
+   * @param memory bounds the bytes of responses that callers have not accepted yet
    * @param handler receives each complete request
    * @param rejectionListener receives status and reason of each request rejected as malformed
    */
@@ -43,11 +46,13 @@
       String address,
       Supplier<ForwardLimits> limits,
       LongSupplier clock,
+      ResponseMemory memory,
       Consumer<CallerExchange> handler,
       BiConsumer<Integer, String> rejectionListener) {
     this.handler = handler;
     this.rejectionListener = rejectionListener;
     this.clock = clock;
+    this.memory = memory;
     int colon = address.lastIndexOf(':');
     server =
         vertx
@@ -72,6 +77,11 @@
     return server.listen().map(NetServer::actualPort);
   }
 
+  /** Returns a share of the bytes of responses that callers have not accepted yet. */
+  ResponseMemory.Share openShare(Runnable exhaustedHandler) {
+    return memory.open(exhaustedHandler);
+  }
+
   long now() {
     return clock.getAsLong();
   }
@@ -123,6 +133,11 @@
     rejectionListener.accept(status, reason);
   }
 
+  /** Records that a response was cut because the memory for responses is full. */
+  void onResponseCut() {
+    rejectionListener.accept(NO_STATUS, "memory-full");
+  }
+
   void onConnectionClosed(CallerConnection connection) {
     connections.remove(connection);
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ControlHttpClient.java
@@ -35,8 +35,10 @@
   private final Vertx vertx;
   private final EndpointPool pool;
   private final LongSupplier clock;
+  private final ResponseMemory memory;
 
-  ControlHttpClient(Vertx vertx, EndpointPool pool, LongSupplier clock) {
+  ControlHttpClient(Vertx vertx, EndpointPool pool, LongSupplier clock, ResponseMemory memory) {
+    this.memory = memory;
     this.vertx = vertx;
     this.pool = pool;
     this.clock = clock;
@@ -160,6 +162,7 @@
     private final Promise<ControlResponse> promise;
     private final ResponseTimeout timeout;
     private final Buffer body = Buffer.buffer();
+    private final ResponseMemory.Share held;
     private int status;
     private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
 
@@ -168,6 +171,8 @@
       this.description = description;
       this.promise = promise;
       this.timeout = timeout;
+      held = memory.open(() -> onFailure("responses to this host together are too long"));
+      promise.future().onComplete(result -> held.release());
     }
 
     @Override
@@ -186,6 +191,7 @@
         onFailure("response is longer than " + MAXIMUM_RESPONSE_BYTES + " bytes");
       } else {
         body.appendBytes(bytes);
+        held.resize(body.length());
       }
     }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.vertx.core.AsyncResult;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.lentilhinge.forward.AttemptOutcome;
@@ -42,11 +43,18 @@
   private static final String BODY_TOO_LONG = "body-too-long";
   private static final String EVENT_TOO_LONG = "event-too-long";
 
+  /** The failure of the longest response if those to this host together are too long. */
+  private static final String MEMORY_FULL = "memory-full";
+
+  /** The bytes of memory that a header takes in addition to its name and value. */
+  private static final int HEADER_OVERHEAD_BYTES = 128;
+
   /** The failures of responses that this host gave up because they exceeded a bound. */
   private static final Set<String> OVERSIZED =
       Set.of(
           BODY_TOO_LONG,
           EVENT_TOO_LONG,
+          MEMORY_FULL,
           EndpointConnection.HEAD_TOO_LONG,
           EndpointConnection.ENDLESS_RESPONSE,
           EndpointConnection.ENDLESS_RESPONSES);
@@ -71,6 +79,8 @@
   private final long startedAtMillis;
   private final ByteBuf body = Unpooled.buffer();
   private final EventStream events = new EventStream();
+  private final ResponseMemory.Share held;
+  private int headBytes;
   private Optional<EndpointConnection> connection = Optional.empty();
   private Optional<HttpResponse> response = Optional.empty();
   private Optional<ResponseMetadata> responseMetadata = Optional.empty();
@@ -97,6 +107,7 @@
     this.route = route;
     this.target = target;
     this.startedAtMillis = forwarder.context().now();
+    this.held = forwarder.responseMemory().open(() -> fail(MEMORY_FULL));
   }
 
   AttemptTarget target() {
@@ -191,6 +202,7 @@
   void cancel() {
     if (!finished) {
       finished = true;
+      held.release();
       target.recordEnd(AttemptOutcome.UNKNOWN, CANCELLED, status());
       recordConnectionUse();
       if (sent) {
@@ -219,6 +231,22 @@
       // The caller has received events, which only further events may follow.
       fail("no-stream");
     }
+    headBytes = memoryBytes(httpResponse.headers());
+    recordHeld(0);
+  }
+
+  private static int memoryBytes(HttpHeaders headers) {
+    int bytes = 0;
+    for (Map.Entry<String, String> header : headers) {
+      bytes += header.getKey().length() + header.getValue().length() + HEADER_OVERHEAD_BYTES;
+    }
+    return bytes;
+  }
+
+  private void recordHeld(int contentBytes) {
+    if (!finished) {
+      held.resize(headBytes + contentBytes);
+    }
   }
 
   @Override
@@ -228,9 +256,11 @@
     }
     target.recordPart();
     if (!streaming) {
-      body.writeBytes(part, part.readerIndex(), part.readableBytes());
-      if (body.readableBytes() > MAXIMUM_BODY_BYTES) {
+      if (body.readableBytes() + part.readableBytes() > MAXIMUM_BODY_BYTES) {
         fail(BODY_TOO_LONG);
+      } else {
+        body.writeBytes(part, part.readerIndex(), part.readableBytes());
+        recordHeld(body.capacity());
       }
       return;
     }
@@ -248,6 +278,7 @@
     if (events.isTooLong()) {
       fail(EVENT_TOO_LONG);
     }
+    recordHeld(events.heldBytes());
   }
 
   /** Receives no further events until the caller has accepted most of the former ones. */
@@ -295,6 +326,8 @@
     if (finished) {
       return;
     }
+    // From here on a response is counted with the connection of its caller.
+    held.release();
     HttpResponse httpResponse = response.orElseThrow();
     int status = status();
     if (target.isRefusal(status, responseMetadata.orElseThrow())) {
@@ -366,6 +399,7 @@
       return;
     }
     finished = true;
+    held.release();
     unreachable = reason.equals(NO_CONNECTION);
     target.recordEnd(outcome, reason, status());
     recordConnectionUse();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EventStream.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EventStream.java
@@ -67,6 +67,11 @@
     return pending.isReadable();
   }
 
+  /** Returns the number of bytes that are allocated for what is not complete. */
+  int heldBytes() {
+    return pending.capacity();
+  }
+
   boolean isTooLong() {
     return pending.readableBytes() > MAXIMUM_EVENT_BYTES;
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -228,7 +228,8 @@
             quarantine,
             limits,
             departures,
-            streamOrigins));
+            streamOrigins,
+            connections.responseMemory()));
   }
 
   private PeerNetwork createPeerNetwork(Scheduler scheduler, long incarnation, Random random) {
@@ -264,6 +265,7 @@
         address,
         state::forwardLimits,
         context.clock(),
+        connections.responseMemory(),
         handler,
         (status, reason) -> context.log().line("refuse", "status", status, "why", reason));
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -87,7 +87,7 @@
         new StreamContinuation(context, forwarder.streamOrigins(), requestMetadata, route, service);
     this.choice = new EndpointChoice(state, context, service, generation().adapter());
     this.permit = new RequestPermit(forwarder, requestMetadata, route.priority(), log);
-    this.keptFailure = new KeptFailure(context);
+    this.keptFailure = new KeptFailure(context, forwarder.responseMemory());
     this.resumeAfter = requestMetadata.resumeAfter();
     this.arrivedAtMillis = arrivedAtMillis;
     deadlineAtMillis =
@@ -484,7 +484,7 @@
   private void finish(String outcome) {
     finished = true;
     context.vertx().cancelTimer(deadlineTimer);
-    keptFailure.cancelTimer();
+    keptFailure.end();
     forwarder.onRequestFinished(this, exchange.isRelayed());
     permit.release(PermitReturn.Outcome.DONE, 0);
     forwarder.count("ended." + outcome);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -54,6 +54,7 @@
    * @param limits learns the request limits of endpoints
    * @param departures learns which endpoints leave
    * @param streamOrigins finds the software versions of streams
+   * @param responseMemory bounds the bytes of responses that are held
    */
   record Parts(
       HeaderTranslator headerTranslator,
@@ -64,7 +65,8 @@
       QuarantineRunner quarantine,
       EndpointLimitRunner limits,
       EndpointDepartureRunner departures,
-      StreamOriginExchange streamOrigins) {}
+      StreamOriginExchange streamOrigins,
+      ResponseMemory responseMemory) {}
 
   Forwarder(HostContext context, HostState state, Parts parts) {
     this.context = context;
@@ -117,6 +119,10 @@
     return parts.streamOrigins();
   }
 
+  ResponseMemory responseMemory() {
+    return parts.responseMemory();
+  }
+
   void count(String name) {
     context.metrics().counter(MetricRegistry.name("forward", name)).inc();
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostConnections.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostConnections.java
@@ -11,6 +11,7 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
   private final HostContext context;
+  private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
   private final EndpointPool requestPool;
   private final EndpointPool orderPool;
   private final EndpointPool reportPool;
@@ -35,7 +36,12 @@
   }
 
   private ControlHttpClient createClient(EndpointPool pool) {
-    return new ControlHttpClient(context.vertx(), pool, context.clock());
+    return new ControlHttpClient(context.vertx(), pool, context.clock(), responseMemory);
+  }
+
+  /** Returns the bound of the bytes of responses that all connections hold together. */
+  ResponseMemory responseMemory() {
+    return responseMemory;
   }
 
   /** Returns the pool of the connections for the requests of callers. */
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseMemory.java
@@ -0,0 +1,98 @@
+package org.lentilhinge.runtime.forward;
+
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Bounds the bytes of responses that a host holds, of all connections together: each may be within
+ * its bounds, and their sum exceed the memory of the process. The holder of the most bytes then
+ * ends, until the sum is within the bound. Must be used on one event loop.
+ */
+final class ResponseMemory {
+
+  /** The part of the heap that responses may take; the known state of a large site takes more. */
+  private static final int HEAP_PARTS = 4;
+
+  private final long maximumBytes;
+  private final Set<Share> shares = new LinkedHashSet<>();
+  private long heldBytes;
+
+  /**
+   * Creates an empty memory.
+   *
+   * @param maximumBytes the maximum of the sum, in bytes
+   */
+  ResponseMemory(long maximumBytes) {
+    this.maximumBytes = maximumBytes;
+  }
+
+  /** Returns a memory in proportion to the heap of this process. */
+  static ResponseMemory ofHeap() {
+    return new ResponseMemory(Runtime.getRuntime().maxMemory() / HEAP_PARTS);
+  }
+
+  /**
+   * Returns an empty share.
+   *
+   * @param exhaustedHandler drops what the share stands for, as it is the largest one
+   */
+  Share open(Runnable exhaustedHandler) {
+    return new Share(exhaustedHandler);
+  }
+
+  long heldBytes() {
+    return heldBytes;
+  }
+
+  /** What one holder holds. */
+  final class Share {
+
+    private final Runnable exhaustedHandler;
+    private long bytes;
+    private boolean exhausted;
+
+    private Share(Runnable exhaustedHandler) {
+      this.exhaustedHandler = exhaustedHandler;
+    }
+
+    /** Records how many bytes are held now. */
+    void resize(long newBytes) {
+      if (exhausted) {
+        return;
+      }
+      set(newBytes);
+      while (heldBytes > maximumBytes) {
+        endLargest();
+      }
+    }
+
+    /** Records that nothing is held any more. */
+    void release() {
+      resize(0);
+    }
+
+    private void set(long newBytes) {
+      heldBytes += newBytes - bytes;
+      bytes = newBytes;
+      if (newBytes > 0) {
+        shares.add(this);
+      } else {
+        shares.remove(this);
+      }
+    }
+
+    private void end() {
+      set(0);
+      exhausted = true;
+      exhaustedHandler.run();
+    }
+  }
+
+  private void endLargest() {
+    Optional<Share> largest =
+        shares.stream().max(Comparator.comparingLong((Share share) -> share.bytes));
+    largest.ifPresent(Share::end);
+  }
+}
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ControlHttpClientTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ControlHttpClientTest.java
@@ -42,7 +42,8 @@
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     EndpointPool pool =
         new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher(), address -> {});
-    return new ControlHttpClient(vertx, pool, clock).read(endpoint.address(), "/", TIMEOUT_MILLIS);
+    return new ControlHttpClient(vertx, pool, clock, ResponseMemory.ofHeap())
+        .read(endpoint.address(), "/", TIMEOUT_MILLIS);
   }
 
   private void writeParts(NetSocket socket, int left) {
@@ -93,7 +94,8 @@
         new ControlHttpClient(
             vertx,
             new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher(), address -> {}),
-            clock);
+            clock,
+            ResponseMemory.ofHeap());
     CompletionException failure =
         expectThrows(
             CompletionException.class,
@@ -131,7 +133,8 @@
         new ControlHttpClient(
             vertx,
             new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher(), address -> {}),
-            clock);
+            clock,
+            ResponseMemory.ofHeap());
     CompletableFuture<List<Integer>> statuses = new CompletableFuture<>();
     vertx
         .getOrCreateContext()
@@ -171,7 +174,7 @@
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     EndpointPool pool =
         new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher(), unreliable::add);
-    ControlHttpClient client = new ControlHttpClient(vertx, pool, clock);
+    ControlHttpClient client = new ControlHttpClient(vertx, pool, clock, ResponseMemory.ofHeap());
     for (int call = 0; call < 3; call++) {
       Future<ControlResponse> response =
           client.call("GET", endpoint.address(), "/", Map.of(), Buffer.buffer(), TIMEOUT_MILLIS);
@@ -186,7 +189,7 @@
     LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     EndpointPool pool =
         new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher(), address -> {});
-    ControlHttpClient client = new ControlHttpClient(vertx, pool, clock);
+    ControlHttpClient client = new ControlHttpClient(vertx, pool, clock, ResponseMemory.ofHeap());
     CompletableFuture<List<Integer>> statuses = new CompletableFuture<>();
     vertx
         .getOrCreateContext()
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/EndlessBytesTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/EndlessBytesTest.java
@@ -9,7 +9,9 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
@@ -166,6 +168,103 @@
     }
   }
 
+  @DataProvider
+  public Object[][] unfinished() {
+    String failed = "HTTP/1.1 500 S\r\nX-Id: i\r\n";
+    return new Object[][] {
+      {"bodies", "/unsafe/", OWN + "Content-Length: 2000000\r\n\r\n", 1_000_000},
+      {"bodies of failures", "/safe/", failed + "Content-Length: 2000000\r\n\r\n", 1_000_000},
+      {"events", "/stream/", OWN + EVENTS + "F4240\r\n", 999_999},
+    };
+  }
+
+  // Many responses, each within its bound, took more memory together than the host has.
+  @Test(dataProvider = "unfinished")
+  public void unfinishedResponsesTogetherAreBounded(
+      String what, String path, String head, int heldBytes) throws IOException {
+    int callers = 24;
+    String unfinished = head + "x".repeat(heldBytes);
+    ScriptedEndpoint stalling =
+        new ScriptedEndpoint(
+            vertx,
+            (socket, request) ->
+                socket.write(
+                    request.contains("X-Id: sound")
+                        ? ForwardFixture.response("sound", "sound")
+                        : unfinished));
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(stalling.address()))) {
+      List<Socket> sockets = new ArrayList<>();
+      for (int caller = 0; caller < callers; caller++) {
+        Socket socket = fixture.open();
+        sockets.add(socket);
+        String request = ForwardFixture.request("POST", path, "i", "body");
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      }
+      assertTrue(sound(fixture).endsWith("sound"), what);
+      int ended = 0;
+      for (Socket socket : sockets) {
+        String response =
+            new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        boolean endedEarly = response.startsWith("HTTP/1.1 502");
+        assertTrue(endedEarly || response.startsWith("HTTP/1.1 504"), what + response);
+        ended += endedEarly ? 1 : 0;
+        socket.close();
+      }
+      long held = (long) (callers - ended) * heldBytes;
+      assertTrue(held <= ForwardFixture.MAXIMUM_HELD_BYTES, what + ": " + held + " bytes");
+      assertEquals(fixture.oversizedResponses("e0"), ended, what);
+      assertTrue(sound(fixture).endsWith("sound"), what);
+    }
+  }
+
+  // Responses that their callers did not read took more memory together than the host has.
+  @Test
+  public void unreadResponsesTogetherAreBounded() throws IOException {
+    int callers = 24;
+    String body = "x".repeat(4_000_000);
+    AtomicInteger answered = new AtomicInteger();
+    ScriptedEndpoint endpoint =
+        new ScriptedEndpoint(
+            vertx,
+            (socket, request) ->
+                socket
+                    .write(
+                        request.contains("X-Id: sound")
+                            ? ForwardFixture.response("sound", "sound")
+                            : ForwardFixture.response("i", body))
+                    .onSuccess(unused -> answered.incrementAndGet()));
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()))) {
+      List<Socket> sockets = new ArrayList<>();
+      for (int caller = 0; caller < callers; caller++) {
+        Socket socket = fixture.openNarrow();
+        sockets.add(socket);
+        String request = ForwardFixture.request("POST", "/unsafe/x", "i", "body");
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      }
+      while (answered.get() < callers) {
+        assertTrue(sound(fixture).endsWith("sound"));
+      }
+      int complete = 0;
+      for (Socket socket : sockets) {
+        complete += isComplete(socket, body.length()) ? 1 : 0;
+        socket.close();
+      }
+      // The buffers of the operating system hold less than half of a body.
+      long held = (long) complete * body.length() / 2;
+      assertTrue(held <= ForwardFixture.MAXIMUM_HELD_BYTES, complete + " complete responses");
+      assertTrue(sound(fixture).endsWith("sound"));
+    }
+  }
+
+  private static boolean isComplete(Socket socket, int length) {
+    try {
+      return socket.getInputStream().readAllBytes().length > length;
+    } catch (IOException exception) {
+      // The host has reset the connection.
+      return false;
+    }
+  }
+
   // Bytes on a connection in the pool, for which no request was in flight.
   @Test
   public void endlessBytesOnIdleConnectionCloseIt() throws IOException, InterruptedException {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -44,6 +44,10 @@
 final class ForwardFixture implements AutoCloseable {
 
   private static final int SOCKET_TIMEOUT_MILLIS = 10_000;
+
+  /** The bytes of responses that the host may hold. */
+  static final long MAXIMUM_HELD_BYTES = 8_388_608;
+
   private static final int NARROW_BUFFER_BYTES = 65_536;
   private static final long TICK_MILLIS = 20;
 
@@ -58,6 +62,7 @@
   private final EndpointDepartureRunner departures;
   private final QuarantineRunner quarantine;
   private final Forwarder forwarder;
+  private final ResponseMemory responseMemory = new ResponseMemory(MAXIMUM_HELD_BYTES);
   private final AtomicLong advancedMillis = new AtomicLong();
   private volatile Runnable beforePermitAnswer = () -> {};
   private volatile Optional<Runnable> afterNextRequest = Optional.empty();
@@ -106,7 +111,8 @@
                 quarantine,
                 limits,
                 departures,
-                streamOrigins));
+                streamOrigins,
+                responseMemory));
     CompletableFuture<CallerServer> created = new CompletableFuture<>();
     loop = vertx.getOrCreateContext();
     CompletableFuture<Integer> listening = new CompletableFuture<>();
@@ -173,6 +179,7 @@
         "127.0.0.1:0",
         state::forwardLimits,
         context.clock(),
+        responseMemory,
         this::accept,
         (status, reason) -> {});
   }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/RepeatedRefusalTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/RepeatedRefusalTest.java
@@ -69,7 +69,8 @@
     ResponseMatcher ordered = new OrderedResponseMatcher();
     EndpointPool pool =
         new EndpointPool(vertx, 1_000, System::currentTimeMillis, ordered, address -> {});
-    ControlHttpClient client = new ControlHttpClient(vertx, pool, System::currentTimeMillis);
+    ControlHttpClient client =
+        new ControlHttpClient(vertx, pool, System::currentTimeMillis, ResponseMemory.ofHeap());
     for (int call = 0; call < 2; call++) {
       client
           .call("GET", endpoint.address(), "/report", Map.of(), Buffer.buffer(), 1_000)
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/TruncatedResponseTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/TruncatedResponseTest.java
@@ -165,7 +165,8 @@
         new ControlHttpClient(
             vertx,
             new EndpointPool(vertx, 1_000, clock, new OrderedResponseMatcher(), address -> {}),
-            clock);
+            clock,
+            ResponseMemory.ofHeap());
     for (Framing framing : Framing.values()) {
       for (End end : End.values()) {
         for (int length = 0; length <= framing.cuts(end == End.RESET); length++) {
