Close given-up connections without waiting until their request is written

A faulty endpoint reads no request and sends bytes without end. The attempt or call ended in time and truly, and the host's log said so, but the connection stayed open: closing a Vert.x socket is queued behind the bytes that are to be written, and so waits for the endpoint. The host went on to read and drop what came, and kept the rest of the request, without a time limit. The same for a caller that does not read its response: ending it as the longest holder of memory freed nothing.

Evidence: EndlessControlResponseTest.endlessResponseToRequestThatIsNotReadIsCut did not end on the former code; the connection of a call that had failed was still established after 582 s, with 3.8 MB unsent in the system's buffer. With the channel's own close, which the Vert.x handler turns into the same, it did not end either. It passes with the close of the handler's context, which drops what is unwritten. The other nine cases of the class (own calls with endless heads, bodies, trailers, bytes after a refusal and after a response, and many unfinished reports) passed on the former code.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -190,7 +190,7 @@
   /** Closes the connection without waiting for the caller to accept what was written. */
   private void abort() {
     server.onResponseCut();
-    socket.channelHandlerContext().channel().close();
+    socket.channelHandlerContext().close();
     onClosed();
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -368,7 +368,8 @@
   void close() {
     if (open) {
       open = false;
-      socket.close();
+      // A close of the socket waits until the request is written, which its peer may never read.
+      socket.channelHandlerContext().close();
     }
   }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/FloodingEndpoint.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/FloodingEndpoint.java
@@ -82,6 +82,7 @@
   private void writeAgain(NetSocket socket, Buffer repeated) {
     socket
         .write(repeated)
+        .onFailure(unused -> closed.countDown())
         .onSuccess(
             unused -> {
               acceptedBytes.addAndGet(repeated.length());
