--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -24,6 +24,9 @@
   /** The prefix of the counters of responses to other requests, one for each endpoint. */
   static final String FOREIGN_RESPONSES = "forward.foreign.responses";
 
+  /** The prefix of the counters of responses that exceeded a bound, one for each endpoint. */
+  static final String OVERSIZED_RESPONSES = "forward.oversized.responses";
+
   /** The reason of a request that a stopping host does not serve to its end. */
   static final String STOPPING = "stopping";
 
@@ -51,6 +54,7 @@
    * @param limits learns the request limits of endpoints
    * @param departures learns which endpoints leave
    * @param streamOrigins finds the software versions of streams
+   * @param responseMemory bounds the bytes of responses that are held
    */
   record Parts(
       HeaderTranslator headerTranslator,
@@ -61,7 +65,8 @@
       QuarantineRunner quarantine,
       EndpointLimitRunner limits,
       EndpointDepartureRunner departures,
-      StreamOriginExchange streamOrigins) {}
+      StreamOriginExchange streamOrigins,
+      ResponseMemory responseMemory) {}
 
   Forwarder(HostContext context, HostState state, Parts parts) {
     this.context = context;
@@ -114,6 +119,10 @@
     return parts.streamOrigins();
   }
 
+  ResponseMemory responseMemory() {
+    return parts.responseMemory();
+  }
+
   void count(String name) {
     context.metrics().counter(MetricRegistry.name("forward", name)).inc();
   }
@@ -126,6 +135,12 @@
     }
   }
 
+  /** Records that a response of an endpoint was given up because it exceeded a bound. */
+  void recordOversizedResponse(String endpoint, String reason) {
+    context.log().line("response-oversized", "endpoint", endpoint, "why", reason);
+    context.metrics().counter(MetricRegistry.name(OVERSIZED_RESPONSES, endpoint)).inc();
+  }
+
   /**
    * Accepts a complete request. A request that arrives before the first read of the store is
    * buffered until that read.
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -43,6 +44,11 @@
 final class ForwardFixture implements AutoCloseable {
 
   private static final int SOCKET_TIMEOUT_MILLIS = 10_000;
+
+  /** The bytes of responses that the host may hold. */
+  static final long MAXIMUM_HELD_BYTES = 8_388_608;
+
+  private static final int NARROW_BUFFER_BYTES = 65_536;
   private static final long TICK_MILLIS = 20;
 
   private final Vertx vertx;
@@ -56,6 +62,7 @@
   private final EndpointDepartureRunner departures;
   private final QuarantineRunner quarantine;
   private final Forwarder forwarder;
+  private final ResponseMemory responseMemory = new ResponseMemory(MAXIMUM_HELD_BYTES);
   private final AtomicLong advancedMillis = new AtomicLong();
   private volatile Runnable beforePermitAnswer = () -> {};
   private volatile Optional<Runnable> afterNextRequest = Optional.empty();
@@ -104,7 +111,8 @@
                 quarantine,
                 limits,
                 departures,
-                streamOrigins));
+                streamOrigins,
+                responseMemory));
     CompletableFuture<CallerServer> created = new CompletableFuture<>();
     loop = vertx.getOrCreateContext();
     CompletableFuture<Integer> listening = new CompletableFuture<>();
@@ -171,6 +179,7 @@
         "127.0.0.1:0",
         state::forwardLimits,
         context.clock(),
+        responseMemory,
         this::accept,
         (status, reason) -> {});
   }
@@ -304,6 +313,15 @@
     return socket;
   }
 
+  /** Opens the connection of a caller that accepts few bytes before it reads them. */
+  Socket openNarrow() throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(NARROW_BUFFER_BYTES);
+    socket.connect(new InetSocketAddress("127.0.0.1", port));
+    socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+    return socket;
+  }
+
   /** Sends a request on a new connection; returns all bytes received until the host closes it. */
   String send(String request) throws IOException {
     try (Socket socket = open()) {
@@ -335,6 +353,12 @@
         + body;
   }
 
+  /** Returns the number of responses of an endpoint that were given up as too long. */
+  long oversizedResponses(String endpoint) {
+    String name = MetricRegistry.name(Forwarder.OVERSIZED_RESPONSES, endpoint);
+    return context.metrics().counter(name).getCount();
+  }
+
   /** Returns the number of requests that a planned stop would wait for. */
   int requestsInFlight() {
     CompletableFuture<Integer> count = new CompletableFuture<>();
