--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -11,9 +11,11 @@
 import org.lentilhinge.permit.EndedPermits;
 import org.lentilhinge.permit.EngineScheduler;
 import org.lentilhinge.permit.EngineStatus;
+import org.lentilhinge.permit.EngineStatuses;
 import org.lentilhinge.permit.OpenPermits;
 import org.lentilhinge.permit.OrderCount;
 import org.lentilhinge.permit.OrderCounts;
+import org.lentilhinge.permit.OwnerStatuses;
 import org.lentilhinge.permit.OwnershipAnswer;
 import org.lentilhinge.permit.OwnershipObjection;
 import org.lentilhinge.permit.OwnershipQuery;
@@ -132,7 +134,22 @@
     limits.removeHost(host);
   }
 
-  void updateStatus(String host, EngineStatus status) {
+  /** Handles statuses and order counts that other hosts sent or that this host has to pass on. */
+  void receive(EngineStatuses received) {
+    long now = context.now();
+    for (OwnerStatuses owner : received.owners()) {
+      owner.counts().forEach(this::recordOrderCount);
+      if (!owner.host().equals(context.host())) {
+        for (EngineStatus status : owner.statuses()) {
+          state.engineSelector().updateStatus(owner.host(), status, now);
+          updateStatus(owner.host(), status);
+        }
+      }
+    }
+    statuses.receive(received);
+  }
+
+  private void updateStatus(String host, EngineStatus status) {
     OwnedEngineRunner runner = runners.get(status.incarnation());
     if (runner != null && status.owned()) {
       runner.recordOtherOwner(host, status.fencingToken());
@@ -211,7 +228,7 @@
   }
 
   /** Records the order count of an engine as reported by another host. */
-  void recordOrderCount(OrderCount count) {
+  private void recordOrderCount(OrderCount count) {
     long now = context.now();
     String incarnation = count.incarnation();
     if (counts.recordCount(incarnation, count.acceptedOrders(), now - count.unchangedMillis())) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -31,7 +31,6 @@
 import org.lentilhinge.path.PathQuery;
 import org.lentilhinge.permit.EngineStatuses;
 import org.lentilhinge.permit.OpenPermits;
-import org.lentilhinge.permit.OwnerStatuses;
 import org.lentilhinge.permit.OwnershipAnswer;
 import org.lentilhinge.permit.OwnershipQuery;
 import org.lentilhinge.permit.PermitAnswer;
@@ -351,7 +350,7 @@
 
   private MessageHandlers createHandlers() {
     return new MessageHandlers(overlay::receive)
-        .on(EngineStatuses.class, (host, statusMessage) -> receiveStatuses(statusMessage))
+        .on(EngineStatuses.class, (host, received) -> schedulers.receive(received))
         .on(PermitRequest.class, schedulers::submit)
         .on(PermitAnswer.class, permits::onAnswer)
         .on(PermitReturn.class, schedulers::release)
@@ -380,23 +379,6 @@
     }
   }
 
-  private void receiveStatuses(EngineStatuses received) {
-    long now = context.now();
-    for (OwnerStatuses owner : received.owners()) {
-      owner.counts().forEach(schedulers::recordOrderCount);
-      if (!owner.host().equals(context.host())) {
-        owner
-            .statuses()
-            .forEach(
-                status -> {
-                  state.engineSelector().updateStatus(owner.host(), status, now);
-                  schedulers.updateStatus(owner.host(), status);
-                });
-      }
-    }
-    statuses.receive(received);
-  }
-
   private void tick() {
     ticks++;
     overlay.tick();
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedHost.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedHost.java
@@ -17,10 +17,8 @@
 import org.lentilhinge.overlay.HostOverlay;
 import org.lentilhinge.overlay.HostRecord;
 import org.lentilhinge.overlay.RelaySelector;
-import org.lentilhinge.permit.EngineStatus;
 import org.lentilhinge.permit.EngineStatuses;
 import org.lentilhinge.permit.OpenPermits;
-import org.lentilhinge.permit.OwnerStatuses;
 import org.lentilhinge.permit.OwnershipAnswer;
 import org.lentilhinge.permit.OwnershipQuery;
 import org.lentilhinge.permit.PermitAnswer;
@@ -114,7 +112,7 @@
   /** The only place that decides which part of the host handles a message. */
   private MessageHandlers createHandlers() {
     return new MessageHandlers(overlay::receive)
-        .on(EngineStatuses.class, (host, message) -> receiveStatuses(message))
+        .on(EngineStatuses.class, (host, message) -> schedulers.receive(message))
         .on(PermitRequest.class, schedulers::submit)
         .on(PermitAnswer.class, permits::onAnswer)
         .on(PermitReturn.class, schedulers::release)
@@ -125,21 +123,6 @@
         .on(DeclarationNews.class, follower::receive);
   }
 
-  /** Handles statuses in the same way as {@link ForwardHost}. */
-  private void receiveStatuses(EngineStatuses received) {
-    long now = context.now();
-    for (OwnerStatuses owner : received.owners()) {
-      owner.counts().forEach(schedulers::recordOrderCount);
-      if (!owner.host().equals(context.host())) {
-        for (EngineStatus status : owner.statuses()) {
-          state.engineSelector().updateStatus(owner.host(), status, now);
-          schedulers.updateStatus(owner.host(), status);
-        }
-      }
-    }
-    statuses.receive(received);
-  }
-
   String name() {
     return context.host();
   }
