--- a/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
@@ -125,6 +125,18 @@
     return held && reachesAll;
   }
 
+  /**
+   * Returns whether a host that another one knows is live, or is known here to have been lost. A
+   * host that is late may know lost hosts as live for long.
+   *
+   * @param host the host
+   * @param lostBeforeMillis the latest time of its loss, in milliseconds
+   * @return whether the other host knows nothing newer
+   */
+  public boolean isKnown(KnownHost host, long lostBeforeMillis) {
+    return host.host().equals(self) || view.isKnown(host, lostBeforeMillis);
+  }
+
   /**
    * Returns the hosts that fell silent and may still run.
    *
--- a/core/src/main/java/org/lentilhinge/overlay/HostView.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostView.java
@@ -85,6 +85,15 @@
         });
   }
 
+  /** Indicates whether a host is live, or was lost before some time and not heard of since. */
+  boolean isKnown(KnownHost host, long lostBeforeMillis) {
+    LostHost entry = lost.get(host.host());
+    return live.containsKey(host.host())
+        || (entry != null
+            && entry.version() >= host.version()
+            && entry.lostAtMillis() <= lostBeforeMillis);
+  }
+
   /** Returns when hosts were lost that had not announced their shutdown, in milliseconds. */
   Map<String, Long> lostAtMillis(long sinceMillis) {
     Map<String, Long> times = new HashMap<>();
--- a/core/src/main/java/org/lentilhinge/permit/OwnershipAnswer.java
+++ b/core/src/main/java/org/lentilhinge/permit/OwnershipAnswer.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.lentilhinge.message.PeerMessage;
+import org.lentilhinge.overlay.KnownHost;
 
 /**
  * The answer to an {@link OwnershipQuery}, which takes the way of the query back.
@@ -22,7 +23,7 @@
     long round,
     Optional<OwnershipObjection> objection,
     long highestToken,
-    List<String> hosts)
+    List<KnownHost> hosts)
     implements PeerMessage {
 
   /**
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.EngineCapacity;
-import org.lentilhinge.overlay.HostRecord;
+import org.lentilhinge.overlay.KnownHost;
 import org.lentilhinge.permit.EndedPermits;
 import org.lentilhinge.permit.EngineScheduler;
 import org.lentilhinge.permit.EngineStatus;
@@ -182,8 +182,7 @@
     relinquishOlderIncarnations(query.incarnation());
     Optional<OwnershipObjection> objection = objectTo(query);
     boolean sameHosts = query.hostsDigest() == state.candidatesDigest();
-    List<String> hosts =
-        sameHosts ? List.of() : state.hosts().candidates().stream().map(HostRecord::host).toList();
+    List<KnownHost> hosts = sameHosts ? List.of() : state.knownHosts();
     peers.send(
         from,
         new OwnershipAnswer(
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -1,12 +1,10 @@
 package org.lentilhinge.runtime.forward;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.lentilhinge.dispatch.EndpointPauses;
 import org.lentilhinge.dispatch.SendCondition;
 import org.lentilhinge.dispatch.SendObstacle;
@@ -24,6 +22,7 @@
 import org.lentilhinge.limit.EndpointLimits;
 import org.lentilhinge.overlay.HostOverlay;
 import org.lentilhinge.overlay.HostRecord;
+import org.lentilhinge.overlay.KnownHost;
 import org.lentilhinge.path.CutOffHosts;
 import org.lentilhinge.permit.EngineSelector;
 import org.lentilhinge.permit.OwnerRanking;
@@ -281,15 +280,17 @@
         .reduce(0, (first, second) -> first ^ second);
   }
 
-  /** Indicates whether this host knows all of some hosts as live. */
-  boolean knowsHosts(List<String> names) {
-    if (names.isEmpty()) {
-      return true;
-    }
-    Set<String> known = new HashSet<>();
-    hosts.liveHosts().forEach(host -> known.add(host.host()));
-    known.add(context.host());
-    return known.containsAll(names);
+  /** Returns the hosts that may own engines, which include this host. */
+  List<KnownHost> knownHosts() {
+    return hosts.candidates().stream()
+        .map(host -> new KnownHost(host.host(), host.version()))
+        .toList();
+  }
+
+  /** Indicates whether this host knows all that another host knows as live, or that they ended. */
+  boolean knowsHosts(List<KnownHost> others) {
+    long lostBeforeMillis = context.now() - OwnershipClaims.LOST_HOST_MILLIS;
+    return others.stream().allMatch(host -> hosts.majority().isKnown(host, lostBeforeMillis));
   }
 
   /**
