Replace a first-ranked host that cannot take an engine over, and ask again only after a new late tick

Two further hosts schedule an engine that nobody has claimed for 5 s. A lost host counts for 2.5 s, as an order may be under way for 0.8 s.

--- a/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineOwnership.java
@@ -48,6 +48,8 @@
   /** Whether the count was raised by an order that may as well be that of another host. */
   private boolean needsConsent;
 
+  private long consentedAtMillis;
+
   /** The time of the last accepted order since the takeover, in milliseconds. */
   private OptionalLong activeAtMillis = OptionalLong.empty();
 
@@ -218,9 +220,23 @@
     needsConsent = true;
   }
 
-  /** Records that all other hosts consent to the ownership. */
-  public void recordConsent() {
+  /**
+   * Records that all other hosts consent to the ownership.
+   *
+   * @param nowMillis the current time, in milliseconds
+   */
+  public void recordConsent(long nowMillis) {
     needsConsent = false;
+    consentedAtMillis = nowMillis;
+  }
+
+  /**
+   * Returns when all other hosts last consented to the ownership, at the takeover or later.
+   *
+   * @return the time, in milliseconds
+   */
+  public long consentedAtMillis() {
+    return consentedAtMillis;
   }
 
   /**
@@ -275,7 +291,7 @@
       unconfirmedOrders = 0;
       uncertainOrders = 0;
       doubtSinceMillis = OptionalLong.empty();
-      needsConsent = false;
+      recordConsent(nowMillis);
     }
     return isOwner();
   }
--- a/core/src/main/java/org/lentilhinge/permit/OwnershipClaims.java
+++ b/core/src/main/java/org/lentilhinge/permit/OwnershipClaims.java
@@ -20,7 +20,7 @@
    * over, in milliseconds. An owner that is idle orders only while its neighbors know it as live,
    * by their heartbeats of the last 1.4 s; the rest covers the way of these and of its order.
    */
-  public static final long LOST_HOST_MILLIS = 2_000;
+  public static final long LOST_HOST_MILLIS = 2_500;
 
   private static final Comparator<OwnershipClaim> BY_TIME =
       Comparator.comparingLong(OwnershipClaim::heardAtMillis);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -17,6 +17,7 @@
 import org.lentilhinge.permit.OrderCounts;
 import org.lentilhinge.permit.OwnerStatuses;
 import org.lentilhinge.permit.OwnershipAnswer;
+import org.lentilhinge.permit.OwnershipClaim;
 import org.lentilhinge.permit.OwnershipObjection;
 import org.lentilhinge.permit.OwnershipQuery;
 import org.lentilhinge.permit.PermitAnswer;
@@ -61,6 +62,12 @@
    */
   private static final int TICKS_PER_CHECK = 4;
 
+  /** The time without a claim after which further hosts schedule an engine, in milliseconds. */
+  private static final long UNOWNED_MILLIS = 5_000;
+
+  /** The number of hosts that schedule an engine in place of the first-ranked one. */
+  private static final int SUBSTITUTES = 2;
+
   private final HostContext context;
   private final EngineControl control;
   private final PeerSender peers;
@@ -69,6 +76,7 @@
   private final EndpointLimitRunner limits;
   private final Map<String, OwnedEngineRunner> runners = new HashMap<>();
   private final OrderCounts counts = new OrderCounts();
+  private final Map<String, Long> engineKnownSinceMillis = new HashMap<>();
   private final List<Runnable> deferredAnswers = new ArrayList<>();
   private final long createdAtMillis;
   private long lastTickAtMillis;
@@ -302,13 +310,31 @@
           !joining
               && state.endpoints().isUsable(engine)
               && state.service(engine.service()).flatMap(service -> service.engine()).isPresent()
-              && state.schedulerHost(engine).equals(context.host());
+              && (state.schedulerHost(engine).equals(context.host()) || isSubstitute(engine, now));
       if (responsible) {
         findOrCreateRunner(engine.incarnation());
       }
     }
   }
 
+  /**
+   * Indicates whether this host has to take the place of the first-ranked one, which may not reach
+   * the engine or the store.
+   */
+  private boolean isSubstitute(FleetEndpoint engine, long now) {
+    String incarnation = engine.incarnation();
+    long knownSinceMillis = engineKnownSinceMillis.computeIfAbsent(incarnation, unused -> now);
+    long claimedAtMillis =
+        state
+            .engineSelector()
+            .claims()
+            .latestElsewhere(incarnation, "")
+            .map(OwnershipClaim::heardAtMillis)
+            .orElse(knownSinceMillis);
+    int rank = state.ownerRanking(engine).indexOf(context.host());
+    return rank > 0 && rank <= SUBSTITUTES && now - claimedAtMillis > UNOWNED_MILLIS;
+  }
+
   /** Relinquishes all engines. Requests for their resident adapters are still served. */
   void relinquishAll(String reason) {
     List<OrderCount> orderCounts = new ArrayList<>();
@@ -341,6 +367,7 @@
   /** Removes an engine that is no longer registered. */
   void removeEngine(String incarnation) {
     close(incarnation);
+    engineKnownSinceMillis.remove(incarnation);
     counts.removeEngine(incarnation);
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -62,7 +62,7 @@
   private StoreRevision storeRevision = StoreRevision.NONE;
   private OptionalLong revisionRequestedAtMillis = OptionalLong.empty();
   private Runnable revisionReader = () -> {};
-  private long lateUntilMillis = Long.MIN_VALUE;
+  private OptionalLong lateAtMillis = OptionalLong.empty();
   private OptionalLong stopsAtMillis = OptionalLong.empty();
   private final Map<String, List<String>> ownerRankings = new HashMap<>();
   private long rankedGeneration = -1;
@@ -201,13 +201,15 @@
   /** Records the time between two ticks of this host. */
   void recordTickGap(long gapMillis) {
     if (gapMillis > LATE_TICK_GAP_MILLIS) {
-      lateUntilMillis = context.now() + LATENESS_MILLIS;
+      lateAtMillis = OptionalLong.of(context.now());
     }
   }
 
-  /** Indicates whether messages of other hosts may have waited in this process for long. */
-  boolean isLate() {
-    return context.now() < lateUntilMillis;
+  /** Indicates whether messages of other hosts may have waited in this process after some time. */
+  boolean wasLateSince(long sinceMillis) {
+    return lateAtMillis.isPresent()
+        && lateAtMillis.getAsLong() > sinceMillis
+        && context.now() - lateAtMillis.getAsLong() < LATENESS_MILLIS;
   }
 
   void setRevisionReader(Runnable reader) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
@@ -72,7 +72,7 @@
 
   /** Indicates whether an idle owner may have missed that it has lost the engine. */
   boolean needsConfirmation() {
-    return state.isLate();
+    return state.wasLateSince(ownership.consentedAtMillis());
   }
 
   /** Indicates whether hosts in the majority may be about to take over this idle engine. */
@@ -139,7 +139,7 @@
   boolean recordConsent() {
     boolean granted = ownership.isOwner() && ownership.needsConsent() && consent.isGranted();
     if (granted) {
-      ownership.recordConsent();
+      ownership.recordConsent(context.now());
       consent.reset();
     }
     return granted;
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnershipConflictTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnershipConflictTest.java
@@ -234,4 +234,36 @@
           assertTrue(fixture.queries.isEmpty());
         });
   }
+
+  // A count that the former owner expected, but the engine had not reached, blocked all takeovers.
+  @Test
+  public void countThatTheEngineNeverReachedDelaysTakeoverOnly() {
+    run(
+        fixture -> {
+          fixture.waitAndTakeOver();
+          fixture.submit("x");
+          assertEquals(fixture.runner.orderCount().orElseThrow().acceptedOrders(), 8);
+          fixture.runner.relinquish("own-stop");
+          fixture.waitMillis(8_000);
+          assertTrue(fixture.runner.isOwner());
+        });
+  }
+
+  // An idle owner on a late host asked all hosts again and again, and never ordered.
+  @Test
+  public void idleOwnerOnLateHostOrdersOnceAllHostsConsent() {
+    run(
+        fixture -> {
+          fixture.waitAndTakeOver();
+          fixture.runWith(OTHER, 100);
+          fixture.state.recordTickGap(500);
+          fixture.submit("x");
+          assertEquals(fixture.orders.size(), 0);
+          fixture.runWith(OTHER, 50);
+          assertEquals(fixture.queries.size(), 1);
+          fixture.consentToQueries();
+          fixture.runWith(OTHER, 50);
+          assertEquals(fixture.orders.size(), 1);
+        });
+  }
 }
