Bound the bytes of a response that are neither body nor event

An endpoint sends chunk extensions or blank lines without end, so that its response never grows: nothing is kept, but the host read on until the deadline of the request (504), its own calls for 10 s.

They end at the bound now: 1 MB and 16 bytes for each byte of a body, where a proper chunk of one byte takes six.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -56,6 +56,7 @@
           EVENT_TOO_LONG,
           MEMORY_FULL,
           EndpointConnection.HEAD_TOO_LONG,
+          EndpointConnection.ENDLESS_FRAMING,
           EndpointConnection.ENDLESS_RESPONSE,
           EndpointConnection.ENDLESS_RESPONSES);
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -35,6 +35,15 @@
   /** The failure of a request before whose response too many others arrived. */
   static final String ENDLESS_RESPONSES = "endless-responses";
 
+  /** The failure of a response with too many bytes that are neither a body nor kept. */
+  static final String ENDLESS_FRAMING = "endless-framing";
+
+  /** The bytes of heads, chunk sizes and blank lines: as many as several heads may have. */
+  private static final long MAXIMUM_FRAMING_BYTES = 1_048_576;
+
+  /** The bytes of framing for each byte of a body; a chunk of one byte has six. */
+  private static final int FRAMING_PER_BODY_BYTE = 16;
+
   private static final String NOT_HTTP = "not-http";
   private static final int MAXIMUM_HEADER_BYTES = 65_536;
 
@@ -62,6 +71,8 @@
   private int foreignResponses;
   private int unnamedResponses;
   private long skippedBytes;
+  private long receivedBytes;
+  private long bodyBytes;
   private boolean readingResponse;
   private boolean selfDelimited;
   private boolean keepAlive;
@@ -132,7 +143,12 @@
         recordSurplus();
         close();
       }
+      receivedBytes += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
       context.fireChannelRead(message);
+      long framingBytes = receivedBytes - bodyBytes;
+      if (framingBytes > MAXIMUM_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * bodyBytes) {
+        fail(ENDLESS_FRAMING);
+      }
     }
   }
 
@@ -177,6 +193,8 @@
     written = false;
     skippedResponses = 0;
     skippedBytes = 0;
+    receivedBytes = 0;
+    bodyBytes = 0;
     foreignResponses = 0;
     unnamedResponses = 0;
     match = Optional.empty();
@@ -216,6 +234,7 @@
     }
     if (part instanceof HttpContent content && (readingResponse || skippingResponse)) {
       boolean last = part instanceof LastHttpContent;
+      bodyBytes += content.content().readableBytes();
       if (skippingResponse) {
         skippingResponse = !last;
         skippedBytes += content.content().readableBytes();
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/EndlessControlResponseTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/EndlessControlResponseTest.java
@@ -84,6 +84,7 @@
       {"interim responses", "", "HTTP/1.1 103 Early\r\n\r\n"},
       {"body", OK + "\r\n", FILLER},
       {"chunks", OK + CHUNKED, "2710\r\n" + FILLER + "\r\n"},
+      {"chunk extensions", OK + CHUNKED, "1;x=" + FILLER + "\r\nx\r\n"},
       {"trailers", OK + CHUNKED + "0\r\n", "X-More: 1\r\n"},
       {"refusal", "HTTP/1.1 409 Conflict\r\n\r\n", FILLER},
       {"after a refusal", "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n", FILLER},
