Bound the bodies that the clients of the completions interface read

The configuration service, the host list and engines (replies to orders, reports, refusals) were read with HttpClientResponse.body(), which keeps all that comes: until 15 s for an engine, and without any end for the platform's services, whose timeout counts idle time only. A faulty server ends the host and all requests on it.

BoundedBody ends the connection at 1 MB for an engine and 8 MB for the platform's services (the bound of the forwarding path's own calls). The outcome of an attempt stays what it was for a broken response.

--- a/runtime/src/main/java/org/lentilhinge/runtime/engine/EngineStreamSubscription.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/engine/EngineStreamSubscription.java
@@ -109,8 +109,7 @@
       return;
     }
     if (response.statusCode() != STATUS_OK) {
-      response
-          .body()
+      BoundedBody.read(response, EngineTransport.MAXIMUM_BODY_BYTES)
           .onComplete(
               body ->
                   fail(
--- a/runtime/src/main/java/org/lentilhinge/runtime/engine/EngineTransport.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/engine/EngineTransport.java
@@ -27,6 +27,9 @@
  */
 final class EngineTransport {
 
+  /** The maximum length of a reply that is not streamed, in bytes. */
+  static final int MAXIMUM_BODY_BYTES = 1_048_576;
+
   private static final int STATUS_CONFLICT = 409;
   private static final int STATUS_UNAVAILABLE = 503;
 
@@ -188,8 +191,7 @@
     }
 
     private Future<Buffer> read(HttpClientResponse response) {
-      return response
-          .body()
+      return BoundedBody.read(response, MAXIMUM_BODY_BYTES)
           .compose(
               body ->
                   response.statusCode() == 200
--- a/runtime/src/main/java/org/lentilhinge/runtime/platform/HttpGetClient.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/platform/HttpGetClient.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.concurrent.atomic.AtomicReference;
+import org.lentilhinge.runtime.engine.BoundedBody;
 
 /**
  * Sends GET requests to one service of the platform, each on a connection of its own: responses do
@@ -24,6 +25,9 @@
   /** The time allowed for the response in addition to the requested wait, in milliseconds. */
   private static final long RESPONSE_GRACE_MILLIS = 5_000;
 
+  /** The maximum length of a body: several times the longest published text. */
+  private static final int MAXIMUM_BODY_BYTES = 8_388_608;
+
   private final HttpClient client;
   private final String host;
   private final int port;
@@ -78,8 +82,7 @@
   }
 
   private static Future<Response> readResponse(HttpClientResponse response) {
-    return response
-        .body()
+    return BoundedBody.read(response, MAXIMUM_BODY_BYTES)
         .map(body -> new Response(response.statusCode(), response.getHeader("ETag"), body));
   }
 
--- /dev/null
+++ b/runtime/src/test/java/org/lentilhinge/runtime/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the clients of the platform. */
+package org.lentilhinge.runtime.platform;
