--- a/runtime/src/test/java/org/lentilhinge/runtime/platform/EndlessBodyTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/platform/EndlessBodyTest.java
@@ -1,5 +1,6 @@
 package org.lentilhinge.runtime.platform;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
@@ -7,12 +8,19 @@
 import com.codahale.metrics.MetricRegistry;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import java.util.concurrent.TimeUnit;
 import org.lentilhinge.identity.EndpointId;
 import org.lentilhinge.runtime.engine.EngineClientSettings;
 import org.lentilhinge.runtime.engine.VllmEngineClient;
 import org.lentilhinge.runtime.forward.FloodingEndpoint;
+import org.lentilhinge.runtime.service.Execution;
+import org.lentilhinge.runtime.service.HttpServiceClient;
+import org.lentilhinge.runtime.service.ServiceAttempt;
+import org.lentilhinge.runtime.service.ServiceAttemptResult;
+import org.lentilhinge.runtime.service.ServiceClientSettings;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
@@ -84,4 +92,26 @@
             new MetricRegistry());
     assertCut(endless, client.report(new EndpointId("e"), endless.address()).ignoreElement());
   }
+
+  // A service whose response has no end; its call may have been executed.
+  @Test
+  public void endlessServiceResponseIsCut() throws InterruptedException {
+    FloodingEndpoint endless = endless();
+    HttpServiceClient client =
+        new HttpServiceClient(vertx, ServiceClientSettings.DEFAULT, Schedulers.computation());
+    ServiceAttempt attempt =
+        new ServiceAttempt(
+            new EndpointId("s"),
+            endless.address(),
+            "POST",
+            "/",
+            MultiMap.caseInsensitiveMultiMap(),
+            Buffer.buffer("x"),
+            false);
+    ServiceAttemptResult result = client.call(attempt, () -> true).blockingGet();
+    assertEquals(result.execution(), Execution.UNKNOWN);
+    assertTrue(endless.awaitClosed());
+    long accepted = endless.acceptedBytes();
+    assertTrue(accepted <= MAXIMUM_ACCEPTED_BYTES, accepted + " bytes");
+  }
 }
