Let the stand-ins of the review play large zones, cuts of single ways and late engines

Four hosts were built into the stand-ins, and a cut concerned a host as a whole, so that the relays of a large zone and the loss of one way between two hosts could not be played. The number of hosts is that of the deployment, a way between two hosts may be cut, links may be delayed, and a model server may answer orders late or not run for a while. A connection to a host that does not listen is closed, as the host's machine would do, instead of left open without an answer.

--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -25,9 +25,11 @@
   private static final SecureRandom RANDOM = new SecureRandom();
   private static final int LOWEST_PORT = 12_000;
   private static final int PORTS = 18_000;
+  private static final int FEW_HOSTS = 4;
 
   final Path folder;
   final Path root;
+  final int hosts;
   final StoreServer store;
   final Map<String, Process> processes = new LinkedHashMap<>();
   final List<PeerProxy> proxies = new ArrayList<>();
@@ -35,22 +37,38 @@
   final int readyPort;
   final int peerPort;
   private final PrintWriter record;
+  private final boolean echo;
   private final Path temporary;
+  private List<String> launcher = List.of();
 
   /**
-   * Creates a deployment without hosts.
+   * Creates a deployment of up to four hosts without hosts, which repeats its record on standard output.
    *
    * @param folder the folder of the case, which receives record.txt
    * @param root the root of the repository
    */
   Deployment(Path folder, Path root) throws IOException {
+    this(folder, root, FEW_HOSTS, true);
+  }
+
+  /**
+   * Creates a deployment without hosts.
+   *
+   * @param folder the folder of the case, which receives record.txt
+   * @param root the root of the repository
+   * @param hosts the highest number of a host
+   * @param echo whether the record is repeated on standard output
+   */
+  Deployment(Path folder, Path root, int hosts, boolean echo) throws IOException {
     this.folder = folder;
     this.root = root;
+    this.hosts = hosts;
+    this.echo = echo;
     record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
     temporary = Files.createTempDirectory("lentilhinge-review");
-    callerPort = freePort();
-    readyPort = freePort();
-    peerPort = freePort();
+    callerPort = freePort(hosts);
+    readyPort = freePort(hosts);
+    peerPort = freePort(hosts);
     store = new StoreServer(this);
     Thread killer = new Thread(() -> processes.values().forEach(Process::destroyForcibly));
     Runtime.getRuntime().addShutdownHook(killer);
@@ -60,11 +78,11 @@
    * Finds a port that is free on all loopback addresses that hosts may use, below the ports that the
    * system gives to connections.
    */
-  private static int freePort() throws IOException {
+  private static int freePort(int hosts) throws IOException {
     for (int attempt = 0; attempt < 100; attempt++) {
       int port = LOWEST_PORT + RANDOM.nextInt(PORTS);
       try {
-        for (int host = 1; host <= 4; host++) {
+        for (int host = 1; host <= hosts; host++) {
           new ServerSocket(port, 1, InetAddress.getByName(ip(host))).close();
           new ServerSocket(port, 1, InetAddress.getByName(name(host))).close();
         }
@@ -86,7 +104,9 @@
     synchronized (record) {
       record.println(line);
     }
-    System.out.println(line);
+    if (echo) {
+      System.out.println(line);
+    }
   }
 
   static String ip(int host) {
@@ -105,6 +125,11 @@
     return new InetSocketAddress(ip(host), callerPort);
   }
 
+  /** Sets the command, with its arguments, that starts the commands of the hosts. */
+  void setLauncher(List<String> command) {
+    launcher = List.copyOf(command);
+  }
+
   /** Starts an entry host with the command of the deploy file. */
   void startHost(int host, String zone) throws IOException {
     if (proxies.stream().noneMatch(proxy -> proxy.host() == host)) {
@@ -123,7 +148,8 @@
             + "[bounds]\nstop = 8 s\nlease = 3000 ms\nretry-ratio = 0.2\nretry-extra = 56\n"
             + "retry-window = 10 s\n";
     Files.writeString(settings, text);
-    List<String> command = new ArrayList<>(deployCommand());
+    List<String> command = new ArrayList<>(launcher);
+    command.addAll(deployCommand());
     int last = command.size() - 1;
     command.set(last, settings.toString());
     ProcessBuilder builder = new ProcessBuilder(command);
@@ -171,6 +197,13 @@
     new ProcessBuilder("kill", "-" + signal, String.valueOf(pid)).inheritIO().start().waitFor();
   }
 
+  /** Stops a host as planned and waits until its process has ended. */
+  void stopHost(int host) throws IOException, InterruptedException {
+    signal(host, "TERM");
+    processes.get("host-" + host).waitFor();
+    record("host-" + host + " ended");
+  }
+
   /** Makes the open channel on which one host sends to another go silent for good. */
   void silence(int from, int to) {
     record("the open channel from host-" + from + " to host-" + to + " goes silent");
@@ -190,6 +223,23 @@
     proxies.forEach(proxy -> proxy.setCut(host, cut));
   }
 
+  /** Cuts the way from one host to another, or heals the cut; the way back is not concerned. */
+  void setCutWay(int from, int to, boolean cut) {
+    record((cut ? "cut: from host-" : "healed: from host-") + from + " to host-" + to);
+    proxies.forEach(proxy -> proxy.setCutWay(from, to, cut));
+  }
+
+  /** Delays what a host sends to others and receives from them; 0 ends the delay. */
+  void setDelay(int host, long millis) {
+    record("the links of host-" + host + " are delayed by " + millis + " ms");
+    proxies.forEach(proxy -> proxy.setDelay(host, millis));
+  }
+
+  /** Returns the log of a host, of all its processes. */
+  List<String> log(int host) throws IOException {
+    return Files.readAllLines(temporary.resolve("host-" + host + ".log"), StandardCharsets.UTF_8);
+  }
+
   /** Copies the logs of the hosts into the record, as far as they concern orders and ownership. */
   void recordLogs(String pattern) throws IOException {
     for (String host : processes.keySet()) {
--- a/review/standin/EngineServer.java
+++ b/review/standin/EngineServer.java
@@ -58,6 +58,8 @@
   private volatile boolean seqRaised;
   private volatile int answersToBreakOff;
   private volatile int refusalsToRepeat;
+  private volatile long orderDelayMillis;
+  private volatile long frozenUntilMillis;
   private final AtomicInteger answers = new AtomicInteger();
   private final AtomicInteger garbledAnswers = new AtomicInteger();
 
@@ -105,6 +107,11 @@
     return cutStreams;
   }
 
+  /** Returns the orders so far. */
+  synchronized List<Order> ordersSoFar() {
+    return List.copyOf(orders);
+  }
+
   /** Returns the holder of the latest order, the name of a host. */
   synchronized String latestHolder() {
     return orders.get(orders.size() - 1).holder();
@@ -125,6 +132,17 @@
     refusalsToRepeat = repeated;
   }
 
+  /** Makes the server answer orders late, which take effect when they arrive; 0 ends the delay. */
+  void delayOrderAnswers(long millis) {
+    orderDelayMillis = millis;
+  }
+
+  /** Makes the server read no further request until some time has passed. */
+  void freeze(long millis) {
+    deployment.record(id + " does not run for " + millis + " ms");
+    frozenUntilMillis = Deployment.now() + millis;
+  }
+
   int answers() {
     return answers.get();
   }
@@ -225,6 +243,7 @@
   }
 
   private void answer(Socket socket, HttpMessage request, OutputStream out) throws IOException {
+    sleep(Math.max(0, frozenUntilMillis - Deployment.now()));
     String expectedId = request.header("Lentilhinge-Expect-Instance");
     if (!expectedId.isEmpty() && !expectedId.equals(id)) {
       Http.write(out, "HTTP/1.1 421 Misdirected Request", Map.of("Lentilhinge-Instance-Id", id), "");
@@ -235,6 +254,7 @@
       if (crashed) {
         throw new IOException("crashed");
       }
+      sleep(orderDelayMillis);
       answerOrder(socket, status, out);
     } else if (request.target().equals("/health")) {
       Http.write(out, "HTTP/1.1 200 OK", Map.of("Lentilhinge-Instance-Id", id), "");
--- a/review/standin/PeerProxy.java
+++ b/review/standin/PeerProxy.java
@@ -5,22 +5,32 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Passes on the connections of other hosts to one host. While two hosts are cut off from each
  * other, bytes between them are held up and new connections are not answered, as in a partition;
- * what was held up is lost.
+ * what was held up is lost. A cut may concern a host, or one way between two hosts. The links of a
+ * host may also be delayed.
  */
 final class PeerProxy {
 
+  private static final Pattern NAME = Pattern.compile("127\\.0\\.2\\.(\\d+)");
+
   private final int host;
   private final ServerSocket listener;
   private final int port;
   private final Set<Integer> cutHosts = ConcurrentHashMap.newKeySet();
+  private final Set<Way> cutWays = ConcurrentHashMap.newKeySet();
+  private final Map<Integer, Long> delays = new ConcurrentHashMap<>();
   private final Set<Link> links = ConcurrentHashMap.newKeySet();
 
+  private record Way(int from, int to) {}
+
   private final class Link {
     private final Socket near;
     private final Socket far;
@@ -36,6 +46,15 @@
       return silent || cutHosts.contains(host) || cutHosts.contains(dialer);
     }
 
+    /** Indicates whether bytes of the dialer, or those for it, are held up. */
+    boolean isCut(boolean fromDialer) {
+      return isCut() || cutWays.contains(fromDialer ? new Way(dialer, host) : new Way(host, dialer));
+    }
+
+    long delayMillis() {
+      return delays.getOrDefault(host, 0L) + delays.getOrDefault(dialer, 0L);
+    }
+
     void close() {
       links.remove(this);
       closeQuietly(near);
@@ -70,6 +89,23 @@
     }
   }
 
+  /** Cuts one way between two hosts, or ends the cut and drops the connections that it held up. */
+  void setCutWay(int from, int to, boolean cut) {
+    Way way = new Way(from, to);
+    if (cut) {
+      cutWays.add(way);
+    } else if (cutWays.remove(way)) {
+      links.stream()
+          .filter(link -> way.equals(new Way(link.dialer, host)) || way.equals(new Way(host, link.dialer)))
+          .forEach(Link::close);
+    }
+  }
+
+  /** Delays what a host sends and receives. */
+  void setDelay(int delayedHost, long millis) {
+    delays.put(delayedHost, millis);
+  }
+
   /** Makes the open connections of one host go silent for good, without a reset; new ones work. */
   void silence(int dialer) {
     links.stream().filter(link -> link.dialer == dialer).forEach(link -> link.silent = true);
@@ -80,7 +116,7 @@
       try {
         Socket near = listener.accept();
         near.setTcpNoDelay(true);
-        Socket far = new Socket(Deployment.ip(host), port);
+        Socket far = connect(near);
         far.setTcpNoDelay(true);
         Link link = new Link(near, far);
         links.add(link);
@@ -92,6 +128,16 @@
     }
   }
 
+  /** Connects to the host, or closes the connection of its peer if the host does not listen. */
+  private Socket connect(Socket near) throws IOException {
+    try {
+      return new Socket(Deployment.ip(host), port);
+    } catch (IOException exception) {
+      closeQuietly(near);
+      throw exception;
+    }
+  }
+
   private void copy(Link link, Socket from, Socket to, boolean fromDialer) {
     try {
       InputStream in = from.getInputStream();
@@ -100,14 +146,13 @@
       for (int length = in.read(bytes); length >= 0; length = in.read(bytes)) {
         if (fromDialer && link.dialer == 0) {
           // The first message of a link names the host that sends it.
-          String text = new String(bytes, 0, length, StandardCharsets.ISO_8859_1);
-          for (int number = 1; number <= 4; number++) {
-            if (text.contains(Deployment.name(number))) {
-              link.dialer = number;
-            }
+          Matcher matcher = NAME.matcher(new String(bytes, 0, length, StandardCharsets.ISO_8859_1));
+          if (matcher.find()) {
+            link.dialer = Integer.parseInt(matcher.group(1));
           }
         }
-        if (link.isCut()) {
+        delay(link);
+        if (link.isCut(fromDialer)) {
           continue;
         }
         out.write(bytes, 0, length);
@@ -115,11 +160,22 @@
     } catch (IOException exception) {
       // One end has closed the connection.
     }
-    if (!link.isCut()) {
+    if (!link.isCut(fromDialer)) {
       link.close();
     }
   }
 
+  private static void delay(Link link) {
+    long millis = link.delayMillis();
+    if (millis > 0) {
+      try {
+        Thread.sleep(millis);
+      } catch (InterruptedException exception) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
   private static void closeQuietly(Socket socket) {
     try {
       socket.close();
--- a/review/standin/StoreServer.java
+++ b/review/standin/StoreServer.java
@@ -22,8 +22,6 @@
 
   private record Event(long rev, String json, String key) {}
 
-  private static final int HOSTS = 4;
-
   private final List<ServerSocket> listeners = new ArrayList<>();
   private final Set<Integer> cutHosts = ConcurrentHashMap.newKeySet();
   private final TreeMap<String, Item> items = new TreeMap<>();
@@ -31,7 +29,7 @@
   private long revision = 100;
 
   StoreServer(Deployment deployment) throws IOException {
-    for (int number = 1; number <= HOSTS; number++) {
+    for (int number = 1; number <= deployment.hosts; number++) {
       int host = number;
       ServerSocket listener = new ServerSocket(0, 100, InetAddress.getByName("127.0.0.1"));
       listeners.add(listener);
