--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -25,6 +26,25 @@
 /** A connection to an endpoint. Carries one request at a time. */
 final class EndpointConnection {
 
+  /** The failure of a response whose head, trailers or one of its lines are too long. */
+  static final String HEAD_TOO_LONG = "head-too-long";
+
+  /** The failure of a request before whose response others with too long bodies arrived. */
+  static final String ENDLESS_RESPONSE = "endless-response";
+
+  /** The failure of a request before whose response too many others arrived. */
+  static final String ENDLESS_RESPONSES = "endless-responses";
+
+  /** The failure of a response with too many bytes that are neither a body nor kept. */
+  static final String ENDLESS_FRAMING = "endless-framing";
+
+  /** The bytes of heads, chunk sizes and blank lines: as many as several heads may have. */
+  private static final long MAXIMUM_FRAMING_BYTES = 1_048_576;
+
+  /** The bytes of framing for each byte of a body; a chunk of one byte has six. */
+  private static final int FRAMING_PER_BODY_BYTE = 16;
+
+  private static final String NOT_HTTP = "not-http";
   private static final int MAXIMUM_HEADER_BYTES = 65_536;
 
   /**
@@ -51,6 +71,8 @@
   private int foreignResponses;
   private int unnamedResponses;
   private long skippedBytes;
+  private long receivedBytes;
+  private long bodyBytes;
   private boolean readingResponse;
   private boolean selfDelimited;
   private boolean keepAlive;
@@ -121,7 +143,12 @@
         recordSurplus();
         close();
       }
+      receivedBytes += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
       context.fireChannelRead(message);
+      long framingBytes = receivedBytes - bodyBytes;
+      if (framingBytes > MAXIMUM_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * bodyBytes) {
+        fail(ENDLESS_FRAMING);
+      }
     }
   }
 
@@ -166,6 +193,8 @@
     written = false;
     skippedResponses = 0;
     skippedBytes = 0;
+    receivedBytes = 0;
+    bodyBytes = 0;
     foreignResponses = 0;
     unnamedResponses = 0;
     match = Optional.empty();
@@ -183,8 +212,11 @@
 
   private void onMessage(Object message) {
     try {
-      if (!(message instanceof HttpObject part) || !part.decoderResult().isSuccess()) {
-        fail("not-http");
+      if (!(message instanceof HttpObject part)) {
+        fail(NOT_HTTP);
+      } else if (!part.decoderResult().isSuccess()) {
+        boolean tooLong = part.decoderResult().cause() instanceof TooLongFrameException;
+        fail(tooLong ? HEAD_TOO_LONG : NOT_HTTP);
       } else if (handler.isEmpty()) {
         // No request is in flight: these bytes could be taken for the response to the next request.
         close();
@@ -202,11 +234,12 @@
     }
     if (part instanceof HttpContent content && (readingResponse || skippingResponse)) {
       boolean last = part instanceof LastHttpContent;
+      bodyBytes += content.content().readableBytes();
       if (skippingResponse) {
         skippingResponse = !last;
         skippedBytes += content.content().readableBytes();
         if (skippedBytes > MAXIMUM_SKIPPED_BYTES) {
-          fail("endless-response");
+          fail(ENDLESS_RESPONSE);
         }
         return;
       }
@@ -249,7 +282,7 @@
     skippingResponse = true;
     skippedResponses++;
     if (skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
-      fail("endless-responses");
+      fail(ENDLESS_RESPONSES);
     }
   }
 
@@ -282,6 +315,7 @@
       return;
     }
     readingResponse = false;
+    resume();
     Optional<ResponseHandler> completedHandler = handler;
     handler = Optional.empty();
     // Endpoints that have sent a response too much may send more of them.
@@ -323,6 +357,24 @@
     fail(reset ? "reset" : "closed");
   }
 
+  /**
+   * Stops reading until {@link #resume} or the end of the response, so that the endpoint cannot
+   * send more than its caller accepts. The end of the connection is not noticed meanwhile.
+   */
+  void pause() {
+    setReading(false);
+  }
+
+  /** Continues to read. */
+  void resume() {
+    setReading(true);
+  }
+
+  private void setReading(boolean reading) {
+    // A pause of the socket would let its end overtake the bytes that were received before.
+    socket.channelHandlerContext().channel().config().setAutoRead(reading);
+  }
+
   /** Closes the connection without notifying the handler of a request in flight. */
   void cancel() {
     if (handler.isPresent()) {
@@ -335,7 +387,8 @@
   void close() {
     if (open) {
       open = false;
-      socket.close();
+      // A close of the socket waits until the request is written, which its peer may never read.
+      socket.channelHandlerContext().close();
     }
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -7,14 +7,17 @@
 import java.util.Optional;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.EngineCapacity;
-import org.lentilhinge.overlay.HostRecord;
+import org.lentilhinge.overlay.KnownHost;
 import org.lentilhinge.permit.EndedPermits;
 import org.lentilhinge.permit.EngineScheduler;
 import org.lentilhinge.permit.EngineStatus;
+import org.lentilhinge.permit.EngineStatuses;
 import org.lentilhinge.permit.OpenPermits;
 import org.lentilhinge.permit.OrderCount;
 import org.lentilhinge.permit.OrderCounts;
+import org.lentilhinge.permit.OwnerStatuses;
 import org.lentilhinge.permit.OwnershipAnswer;
+import org.lentilhinge.permit.OwnershipClaim;
 import org.lentilhinge.permit.OwnershipObjection;
 import org.lentilhinge.permit.OwnershipQuery;
 import org.lentilhinge.permit.PermitAnswer;
@@ -59,6 +62,12 @@
    */
   private static final int TICKS_PER_CHECK = 4;
 
+  /** The time without a claim after which further hosts schedule an engine, in milliseconds. */
+  private static final long UNOWNED_MILLIS = 5_000;
+
+  /** The number of hosts that schedule an engine in place of the first-ranked one. */
+  private static final int SUBSTITUTES = 2;
+
   private final HostContext context;
   private final EngineControl control;
   private final PeerSender peers;
@@ -67,6 +76,7 @@
   private final EndpointLimitRunner limits;
   private final Map<String, OwnedEngineRunner> runners = new HashMap<>();
   private final OrderCounts counts = new OrderCounts();
+  private final Map<String, Long> engineKnownSinceMillis = new HashMap<>();
   private final List<Runnable> deferredAnswers = new ArrayList<>();
   private final long createdAtMillis;
   private long lastTickAtMillis;
@@ -132,7 +142,22 @@
     limits.removeHost(host);
   }
 
-  void updateStatus(String host, EngineStatus status) {
+  /** Handles statuses and order counts that other hosts sent or that this host has to pass on. */
+  void receive(EngineStatuses received) {
+    long now = context.now();
+    for (OwnerStatuses owner : received.owners()) {
+      owner.counts().forEach(this::recordOrderCount);
+      if (!owner.host().equals(context.host())) {
+        for (EngineStatus status : owner.statuses()) {
+          state.engineSelector().updateStatus(owner.host(), status, now);
+          updateStatus(owner.host(), status);
+        }
+      }
+    }
+    statuses.receive(received);
+  }
+
+  private void updateStatus(String host, EngineStatus status) {
     OwnedEngineRunner runner = runners.get(status.incarnation());
     if (runner != null && status.owned()) {
       runner.recordOtherOwner(host, status.fencingToken());
@@ -165,8 +190,7 @@
     relinquishOlderIncarnations(query.incarnation());
     Optional<OwnershipObjection> objection = objectTo(query);
     boolean sameHosts = query.hostsDigest() == state.candidatesDigest();
-    List<String> hosts =
-        sameHosts ? List.of() : state.hosts().candidates().stream().map(HostRecord::host).toList();
+    List<KnownHost> hosts = sameHosts ? List.of() : state.knownHosts();
     peers.send(
         from,
         new OwnershipAnswer(
@@ -211,7 +235,7 @@
   }
 
   /** Records the order count of an engine as reported by another host. */
-  void recordOrderCount(OrderCount count) {
+  private void recordOrderCount(OrderCount count) {
     long now = context.now();
     String incarnation = count.incarnation();
     if (counts.recordCount(incarnation, count.acceptedOrders(), now - count.unchangedMillis())) {
@@ -286,13 +310,31 @@
           !joining
               && state.endpoints().isUsable(engine)
               && state.service(engine.service()).flatMap(service -> service.engine()).isPresent()
-              && state.schedulerHost(engine).equals(context.host());
+              && (state.schedulerHost(engine).equals(context.host()) || isSubstitute(engine, now));
       if (responsible) {
         findOrCreateRunner(engine.incarnation());
       }
     }
   }
 
+  /**
+   * Indicates whether this host has to take the place of the first-ranked one, which may not reach
+   * the engine or the store.
+   */
+  private boolean isSubstitute(FleetEndpoint engine, long now) {
+    String incarnation = engine.incarnation();
+    long knownSinceMillis = engineKnownSinceMillis.computeIfAbsent(incarnation, unused -> now);
+    long claimedAtMillis =
+        state
+            .engineSelector()
+            .claims()
+            .latestElsewhere(incarnation, "")
+            .map(OwnershipClaim::heardAtMillis)
+            .orElse(knownSinceMillis);
+    int rank = state.ownerRanking(engine).indexOf(context.host());
+    return rank > 0 && rank <= SUBSTITUTES && now - claimedAtMillis > UNOWNED_MILLIS;
+  }
+
   /** Relinquishes all engines. Requests for their resident adapters are still served. */
   void relinquishAll(String reason) {
     List<OrderCount> orderCounts = new ArrayList<>();
@@ -325,6 +367,7 @@
   /** Removes an engine that is no longer registered. */
   void removeEngine(String incarnation) {
     close(incarnation);
+    engineKnownSinceMillis.remove(incarnation);
     counts.removeEngine(incarnation);
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -1,12 +1,10 @@
 package org.lentilhinge.runtime.forward;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.lentilhinge.dispatch.EndpointPauses;
 import org.lentilhinge.dispatch.SendCondition;
 import org.lentilhinge.dispatch.SendObstacle;
@@ -24,6 +22,7 @@
 import org.lentilhinge.limit.EndpointLimits;
 import org.lentilhinge.overlay.HostOverlay;
 import org.lentilhinge.overlay.HostRecord;
+import org.lentilhinge.overlay.KnownHost;
 import org.lentilhinge.path.CutOffHosts;
 import org.lentilhinge.permit.EngineSelector;
 import org.lentilhinge.permit.OwnerRanking;
@@ -63,7 +62,7 @@
   private StoreRevision storeRevision = StoreRevision.NONE;
   private OptionalLong revisionRequestedAtMillis = OptionalLong.empty();
   private Runnable revisionReader = () -> {};
-  private long lateUntilMillis = Long.MIN_VALUE;
+  private OptionalLong lateAtMillis = OptionalLong.empty();
   private OptionalLong stopsAtMillis = OptionalLong.empty();
   private final Map<String, List<String>> ownerRankings = new HashMap<>();
   private long rankedGeneration = -1;
@@ -202,13 +201,15 @@
   /** Records the time between two ticks of this host. */
   void recordTickGap(long gapMillis) {
     if (gapMillis > LATE_TICK_GAP_MILLIS) {
-      lateUntilMillis = context.now() + LATENESS_MILLIS;
+      lateAtMillis = OptionalLong.of(context.now());
     }
   }
 
-  /** Indicates whether messages of other hosts may have waited in this process for long. */
-  boolean isLate() {
-    return context.now() < lateUntilMillis;
+  /** Indicates whether messages of other hosts may have waited in this process after some time. */
+  boolean wasLateSince(long sinceMillis) {
+    return lateAtMillis.isPresent()
+        && lateAtMillis.getAsLong() > sinceMillis
+        && context.now() - lateAtMillis.getAsLong() < LATENESS_MILLIS;
   }
 
   void setRevisionReader(Runnable reader) {
@@ -281,15 +282,17 @@
         .reduce(0, (first, second) -> first ^ second);
   }
 
-  /** Indicates whether this host knows all of some hosts as live. */
-  boolean knowsHosts(List<String> names) {
-    if (names.isEmpty()) {
-      return true;
-    }
-    Set<String> known = new HashSet<>();
-    hosts.liveHosts().forEach(host -> known.add(host.host()));
-    known.add(context.host());
-    return known.containsAll(names);
+  /** Returns the hosts that may own engines, which include this host. */
+  List<KnownHost> knownHosts() {
+    return hosts.candidates().stream()
+        .map(host -> new KnownHost(host.host(), host.version()))
+        .toList();
+  }
+
+  /** Indicates whether this host knows all that another host knows as live, or that they ended. */
+  boolean knowsHosts(List<KnownHost> others) {
+    long lostBeforeMillis = context.now() - OwnershipClaims.LOST_HOST_MILLIS;
+    return others.stream().allMatch(host -> hosts.majority().isKnown(host, lostBeforeMillis));
   }
 
   /**
