Identify customers by their API keys

A configuration that declares customers now requires a key on all routes that are not public; an unknown key gets 401, a host without a configuration answers 503. Endpoints receive the customer's name in place of the key. The priority of a customer precedes that of the route. Configurations without customers are served as before. A change of the configuration from a host of the former build, which does not state the customers, is not applied but read from the store.

PermitTerms is the form in which hosts will state what decides under shortage; nothing sets it yet.

--- a/core/src/main/java/org/lentilhinge/forward/ForwardConfiguration.java
+++ b/core/src/main/java/org/lentilhinge/forward/ForwardConfiguration.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.lentilhinge.customer.DeclaredCustomers;
 import org.lentilhinge.identity.DeclaredVersion;
 
 /**
@@ -11,12 +12,14 @@
  * @param routes all routes
  * @param services the services, by name
  * @param limits the limits on what callers may send
+ * @param customers the customers
  */
 public record ForwardConfiguration(
     DeclaredVersion version,
     List<ForwardRoute> routes,
     Map<String, ForwardService> services,
-    ForwardLimits limits) {
+    ForwardLimits limits,
+    DeclaredCustomers customers) {
 
   /**
    * Copies the collections.
@@ -25,9 +28,26 @@
    * @param routes the routes
    * @param services the services
    * @param limits the limits
+   * @param customers the customers
    */
   public ForwardConfiguration {
     routes = List.copyOf(routes);
     services = Map.copyOf(services);
   }
+
+  /**
+   * Creates a configuration that declares no customers.
+   *
+   * @param version the version
+   * @param routes the routes
+   * @param services the services
+   * @param limits the limits
+   */
+  public ForwardConfiguration(
+      DeclaredVersion version,
+      List<ForwardRoute> routes,
+      Map<String, ForwardService> services,
+      ForwardLimits limits) {
+    this(version, routes, services, limits, DeclaredCustomers.NONE);
+  }
 }
--- a/core/src/main/java/org/lentilhinge/forward/ForwardRoute.java
+++ b/core/src/main/java/org/lentilhinge/forward/ForwardRoute.java
@@ -17,6 +17,7 @@
  * @param shares the services and their shares of the requests, at least one
  * @param maximumAttempts the maximum number of endpoints that may run the same request
  * @param resumable whether a broken stream may be resumed at another endpoint
+ * @param publicAccess whether requests need no key
  */
 public record ForwardRoute(
     String name,
@@ -28,7 +29,8 @@
     int priority,
     List<ServiceShare> shares,
     int maximumAttempts,
-    boolean resumable) {
+    boolean resumable,
+    boolean publicAccess) {
 
   /**
    * Copies the shares.
@@ -43,6 +45,7 @@
    * @param shares the shares
    * @param maximumAttempts the maximum number of endpoints
    * @param resumable whether a broken stream may be resumed
+   * @param publicAccess whether requests need no key
    */
   public ForwardRoute {
     shares = List.copyOf(shares);
--- a/core/src/main/java/org/lentilhinge/permit/PermitRequest.java
+++ b/core/src/main/java/org/lentilhinge/permit/PermitRequest.java
@@ -20,6 +20,7 @@
  * @param remainingTargetMillis the time left until the target of the first event, in milliseconds
  * @param remainingMillis the time left for the complete response, in milliseconds
  * @param requestLimit the request limit of the engine, if the sender knows one
+ * @param terms what decides under shortage, if the sender states it
  */
 public record PermitRequest(
     long permitId,
@@ -33,5 +34,6 @@
     int priority,
     long remainingTargetMillis,
     long remainingMillis,
-    Optional<RequestLimit> requestLimit)
+    Optional<RequestLimit> requestLimit,
+    Optional<PermitTerms> terms)
     implements PeerMessage {}
--- a/core/src/main/java/org/lentilhinge/published/ConfigurationChange.java
+++ b/core/src/main/java/org/lentilhinge/published/ConfigurationChange.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.lentilhinge.customer.DeclaredCustomers;
 import org.lentilhinge.forward.ForwardConfiguration;
 import org.lentilhinge.forward.ForwardLimits;
 import org.lentilhinge.forward.ForwardRoute;
@@ -21,6 +22,7 @@
  * @param routes the routes between these
  * @param services all services
  * @param limits the limits
+ * @param customers the customers; empty if the sender is of a build that does not know them
  */
 public record ConfigurationChange(
     DeclaredVersion baseVersion,
@@ -29,7 +31,8 @@
     int keptLast,
     List<ForwardRoute> routes,
     Map<String, ForwardService> services,
-    ForwardLimits limits) {
+    ForwardLimits limits,
+    Optional<DeclaredCustomers> customers) {
 
   /**
    * Copies the collections.
@@ -41,6 +44,7 @@
    * @param routes the routes between these
    * @param services the services
    * @param limits the limits
+   * @param customers the customers
    */
   public ConfigurationChange {
     routes = List.copyOf(routes);
@@ -74,23 +78,27 @@
         last,
         routes.subList(first, routes.size() - last),
         next.services(),
-        next.limits());
+        next.limits(),
+        Optional.of(next.customers()));
   }
 
   /**
    * Applies the change.
    *
    * @param base the configuration that this host knows
-   * @return the resulting configuration, or empty if the change does not apply to the base
+   * @return the resulting configuration, or empty if the change does not apply to the base or does
+   *     not state the customers, so that the configuration has to be read
    */
   public Optional<ForwardConfiguration> applyTo(ForwardConfiguration base) {
     List<ForwardRoute> former = base.routes();
-    if (!base.version().equals(baseVersion) || keptFirst + keptLast > former.size()) {
+    boolean applicable = base.version().equals(baseVersion) && customers.isPresent();
+    if (!applicable || keptFirst + keptLast > former.size()) {
       return Optional.empty();
     }
     List<ForwardRoute> result = new ArrayList<>(former.subList(0, keptFirst));
     result.addAll(routes);
     result.addAll(former.subList(former.size() - keptLast, former.size()));
-    return Optional.of(new ForwardConfiguration(version, result, services, limits));
+    return Optional.of(
+        new ForwardConfiguration(version, result, services, limits, customers.get()));
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/lentilhinge/customer/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of customers and their keys. */
+package org.lentilhinge.customer;
--- a/core/src/test/java/org/lentilhinge/forward/RequestProgressTest.java
+++ b/core/src/test/java/org/lentilhinge/forward/RequestProgressTest.java
@@ -12,7 +12,7 @@
   private static RequestProgress progress(RequestKind kind, boolean resumable, int attempts) {
     List<ServiceShare> shares = List.of(new ServiceShare("s", 1));
     return new RequestProgress(
-        new ForwardRoute("r", "h", "/", kind, 1_000, 200, 0, shares, attempts, resumable));
+        new ForwardRoute("r", "h", "/", kind, 1_000, 200, 0, shares, attempts, resumable, false));
   }
 
   @Test
--- a/core/src/test/java/org/lentilhinge/forward/RouteTableTest.java
+++ b/core/src/test/java/org/lentilhinge/forward/RouteTableTest.java
@@ -15,7 +15,8 @@
 
   private static ForwardRoute route(String name, String host, String prefix) {
     List<ServiceShare> shares = List.of(new ServiceShare("s", 1));
-    return new ForwardRoute(name, host, prefix, RequestKind.SAFE, 1_000, 200, 0, shares, 1, false);
+    return new ForwardRoute(
+        name, host, prefix, RequestKind.SAFE, 1_000, 200, 0, shares, 1, false, false);
   }
 
   private String routeName(String host, String target) {
@@ -44,7 +45,7 @@
   public void splitsByWeight() {
     List<ServiceShare> shares = List.of(new ServiceShare("a", 90), new ServiceShare("b", 10));
     ForwardRoute split =
-        new ForwardRoute("r", "h", "/", RequestKind.SAFE, 1_000, 200, 0, shares, 1, false);
+        new ForwardRoute("r", "h", "/", RequestKind.SAFE, 1_000, 200, 0, shares, 1, false, false);
     int toB = 0;
     for (long hash = 0; hash < 1_000; hash++) {
       toB += split.selectService(hash).equals("b") ? 1 : 0;
--- a/core/src/test/java/org/lentilhinge/permit/EngineSchedulerTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineSchedulerTest.java
@@ -39,7 +39,19 @@
   private PermitRequest request(String adapter, long version) {
     lastPermitId++;
     return new PermitRequest(
-        lastPermitId, "r", "e", "m", adapter, version, 500, 50, 1, 1_000, 5_000, Optional.empty());
+        lastPermitId,
+        "r",
+        "e",
+        "m",
+        adapter,
+        version,
+        500,
+        50,
+        1,
+        1_000,
+        5_000,
+        Optional.empty(),
+        Optional.empty());
   }
 
   private static List<AdapterOrder> orders(List<EngineCommand> commands) {
--- a/core/src/test/java/org/lentilhinge/permit/OpenPermitLedgerTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/OpenPermitLedgerTest.java
@@ -121,7 +121,19 @@
       String adapter = String.valueOf((char) ('a' + random.nextInt(6)));
       PermitRequest request =
           new PermitRequest(
-              id, "r", "e", "m", adapter, 0, 500, 50, 1, 60_000, 60_000, Optional.empty());
+              id,
+              "r",
+              "e",
+              "m",
+              adapter,
+              0,
+              500,
+              50,
+              1,
+              60_000,
+              60_000,
+              Optional.empty(),
+              Optional.empty());
       ledger.open("h", id, now);
       awaited.add(id);
       send(() -> execute(scheduler.submit("h", request, now)));
--- a/core/src/test/java/org/lentilhinge/published/KnownDeclarationsTest.java
+++ b/core/src/test/java/org/lentilhinge/published/KnownDeclarationsTest.java
@@ -9,6 +9,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import org.lentilhinge.customer.Allowance;
+import org.lentilhinge.customer.Customer;
+import org.lentilhinge.customer.DeclaredCustomers;
 import org.lentilhinge.forward.ForwardConfiguration;
 import org.lentilhinge.forward.ForwardLimits;
 import org.lentilhinge.forward.ForwardRoute;
@@ -32,6 +35,7 @@
         1,
         List.of(new ServiceShare("s", 1)),
         2,
+        false,
         false);
   }
 
@@ -110,6 +114,56 @@
     assertTrue(other.isUpToDate(news));
   }
 
+  private static ForwardConfiguration withKey(long version, String key) {
+    Customer customer = new Customer("c", List.of(key), Optional.of(1), Allowance.UNLIMITED);
+    return new ForwardConfiguration(
+        new DeclaredVersion(version, new StoreRevision(0, version)),
+        routes(2),
+        Map.of(),
+        ForwardLimits.DEFAULT,
+        new DeclaredCustomers(true, List.of(customer)));
+  }
+
+  @Test
+  public void newsContainTheCustomers() {
+    KnownDeclarations reader = new KnownDeclarations();
+    KnownDeclarations other = new KnownDeclarations();
+    reader.update(StoreRevision.NONE, declared(withKey(1, "k1"), 10));
+    other.update(StoreRevision.NONE, declared(withKey(1, "k1"), 10));
+    DeclarationNews news = reader.update(new StoreRevision(0, 10), declared(withKey(2, "k2"), 11));
+    assertEquals(other.apply(news).configuration(), Optional.of(withKey(2, "k2")));
+  }
+
+  // News of a build that does not know customers would open all routes to callers without a key.
+  @Test
+  public void newsWithoutCustomersHaveToBeRead() {
+    KnownDeclarations reader = new KnownDeclarations();
+    KnownDeclarations other = new KnownDeclarations();
+    reader.update(StoreRevision.NONE, declared(withKey(1, "k1"), 10));
+    other.update(StoreRevision.NONE, declared(withKey(1, "k1"), 10));
+    DeclarationNews news = reader.update(new StoreRevision(0, 10), declared(withKey(2, "k2"), 11));
+    ConfigurationChange change = news.configuration().orElseThrow();
+    ConfigurationChange former =
+        new ConfigurationChange(
+            change.baseVersion(),
+            change.version(),
+            change.keptFirst(),
+            change.keptLast(),
+            change.routes(),
+            change.services(),
+            change.limits(),
+            Optional.empty());
+    DeclarationNews formerNews =
+        new DeclarationNews(
+            news.sinceRevision(),
+            news.revision(),
+            news.configurationVersion(),
+            Optional.of(former),
+            news.releases());
+    assertTrue(other.apply(formerNews).configuration().isEmpty());
+    assertFalse(other.isUpToDate(formerNews));
+  }
+
   @Test
   public void hostWithoutConfigurationReadsTheStore() {
     KnownDeclarations reader = new KnownDeclarations();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.lentilhinge.customer.CallerIdentity;
 import org.lentilhinge.dispatch.SendObstacle;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.AttemptOutcome;
@@ -32,9 +33,6 @@
   /** The minimum remaining time for starting an attempt, in milliseconds. */
   private static final long MINIMUM_ATTEMPT_MILLIS = 20;
 
-  /** The retry delay sent to the caller if no engine has suggested one, in milliseconds. */
-  private static final long DEFAULT_RETRY_MILLIS = 400;
-
   private static final int MAXIMUM_URGENCY_RANK = 9;
   private static final String OUT_OF_TIME = "out-of-time";
   private static final String SUSPECTED = "suspected-of-crashes";
@@ -47,6 +45,7 @@
   private final RequestMetadata requestMetadata;
   private final ForwardRoute route;
   private final String service;
+  private final CallerIdentity identity;
   private final RequestProgress progress;
   private final QuarantineCheck quarantine;
   private final StreamContinuation continuation;
@@ -55,10 +54,10 @@
   private final EndpointChoice choice;
   private final RequestPermit permit;
   private final KeptFailure keptFailure;
+  private final RetryDelay retryDelay = new RetryDelay();
   private final Set<String> triedHosts = new HashSet<>();
   private Optional<EndpointAttempt> attempt = Optional.empty();
   private Optional<String> resumeAfter;
-  private OptionalLong retryAfterMillis = OptionalLong.empty();
   private long deadlineTimer;
   private boolean finished;
 
@@ -68,6 +67,7 @@
       RequestMetadata requestMetadata,
       ForwardRoute route,
       String service,
+      CallerIdentity identity,
       long arrivedAtMillis) {
     this.forwarder = forwarder;
     this.context = forwarder.context();
@@ -77,6 +77,7 @@
     this.requestMetadata = requestMetadata;
     this.route = route;
     this.service = service;
+    this.identity = identity;
     this.progress = new RequestProgress(route);
     this.quarantine =
         new QuarantineCheck(
@@ -86,7 +87,8 @@
     this.continuation =
         new StreamContinuation(context, forwarder.streamOrigins(), requestMetadata, route, service);
     this.choice = new EndpointChoice(state, context, service, generation().adapter());
-    this.permit = new RequestPermit(forwarder, requestMetadata, route.priority(), log);
+    this.permit =
+        new RequestPermit(forwarder, requestMetadata, identity.priority(route.priority()), log);
     this.keptFailure = new KeptFailure(context, forwarder.responseMemory());
     this.resumeAfter = requestMetadata.resumeAfter();
     this.arrivedAtMillis = arrivedAtMillis;
@@ -106,6 +108,8 @@
         service,
         "kind",
         route.kind(),
+        "customer",
+        identity.customerName().orElse("-"),
         "configuration",
         state.configuration().map(ForwardConfiguration::version).orElse(DeclaredVersion.NONE),
         "leftMs",
@@ -132,7 +136,7 @@
         "version",
         version.orElse("unknown"));
     if (version.isEmpty()) {
-      suggestRetryAfter(continuation.maximumAgeMillis());
+      retryDelay.suggest(continuation.maximumAgeMillis());
       fail("unknown-version");
       return;
     }
@@ -179,8 +183,8 @@
     }
     Optional<FleetEndpoint> chosen = choice.next();
     if (chosen.isEmpty()) {
-      if (retryAfterMillis.isEmpty()) {
-        choice.retryMillis().ifPresent(this::suggestRetryAfter);
+      if (!retryDelay.isSuggested()) {
+        choice.retryMillis().ifPresent(retryDelay::suggest);
       }
       fail(choice.missingReason());
     } else if (choice.needsPermit(chosen.get())) {
@@ -238,7 +242,7 @@
           .limits()
           .recordExhausted(engine.incarnation(), context.now() + answer.retryAfterMillis());
     } else if (choice.isEngineService()) {
-      suggestRetryAfter(answer.retryAfterMillis());
+      retryDelay.suggest(answer.retryAfterMillis());
     }
     if (context.now() - arrivedAtMillis > route.targetMillis() * PERMIT_TARGET_MULTIPLE) {
       // The request has already waited long for the previous engines: the caller retries later
@@ -249,10 +253,6 @@
     }
   }
 
-  private void suggestRetryAfter(long millis) {
-    retryAfterMillis = OptionalLong.of(Math.min(millis, retryAfterMillis.orElse(millis)));
-  }
-
   private void startAttempt(FleetEndpoint endpoint, OptionalLong version) {
     choice.exclude(endpoint);
     if (!choice.isEngineService()) {
@@ -263,10 +263,12 @@
             endpoint.id(),
             remainingMillis(),
             choice.isEngineService()
-                ? OptionalInt.of(Math.min(MAXIMUM_URGENCY_RANK, route.priority()))
+                ? OptionalInt.of(
+                    Math.min(MAXIMUM_URGENCY_RANK, identity.priority(route.priority())))
                 : OptionalInt.empty(),
             version,
-            resumeAfter);
+            resumeAfter,
+            identity);
     boolean repeatable = route.isRepeatable();
     start(new EndpointTarget(forwarder, this, endpoint, metadata, choice.sendCheck(), repeatable));
   }
@@ -386,7 +388,7 @@
     if (endedAttempt.target().endsRequest()) {
       endedAttempt
           .responseMetadata()
-          .ifPresent(head -> head.retryAfterMillis().ifPresent(this::suggestRetryAfter));
+          .ifPresent(head -> head.retryAfterMillis().ifPresent(retryDelay::suggest));
       fail(reason);
     } else if (progress.mayAttemptAgain() && mayResume()) {
       attemptNext();
@@ -431,7 +433,7 @@
       progress.recordOutcome(AttemptOutcome.UNKNOWN);
     }
     if (reason.equals(Forwarder.STOPPING)) {
-      retryAfterMillis = OptionalLong.of(Forwarder.STOPPING_RETRY_MILLIS);
+      retryDelay.set(Forwarder.STOPPING_RETRY_MILLIS);
     }
     fail(reason);
   }
@@ -473,12 +475,7 @@
 
   /** Returns the time after which the caller should send the request again, in milliseconds. */
   private long retryDelayMillis() {
-    OptionalLong quarantineMillis = quarantine.remainingMillis();
-    if (quarantineMillis.isPresent()) {
-      return quarantineMillis.getAsLong();
-    }
-    long maximumDelayMillis = Math.max(0, remainingMillis()) / 3;
-    return Math.min(retryAfterMillis.orElse(DEFAULT_RETRY_MILLIS), maximumDelayMillis);
+    return quarantine.remainingMillis().orElseGet(() -> retryDelay.millis(remainingMillis()));
   }
 
   private void finish(String outcome) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.lentilhinge.customer.CallerIdentity;
 import org.lentilhinge.forward.ForwardConfiguration;
 import org.lentilhinge.forward.ForwardRoute;
 import org.lentilhinge.forward.RequestDuration;
@@ -176,6 +177,15 @@
       reject(exchange, metadata, 404, Optional.empty(), "no-route");
       return;
     }
+    Optional<CallerIdentity> identity = state.customers().identify(route.get(), metadata.apiKeys());
+    if (identity.isEmpty() && exchange.isRelayed()) {
+      refuseRelayed(exchange, metadata);
+      return;
+    }
+    if (identity.isEmpty()) {
+      reject(exchange, metadata, 401, Optional.empty(), "unknown-key");
+      return;
+    }
     if (!exchange.isRelayed() && endsAfterStop(route.get(), metadata)) {
       reject(exchange, metadata, 503, Optional.of(STOPPING_RETRY_MILLIS), STOPPING);
       return;
@@ -189,7 +199,8 @@
       return;
     }
     ForwardedRequest forwarded =
-        new ForwardedRequest(this, exchange, metadata, route.get(), service, arrivedAtMillis);
+        new ForwardedRequest(
+            this, exchange, metadata, route.get(), service, identity.get(), arrivedAtMillis);
     running.add(forwarded);
     forwarded.start();
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.lentilhinge.customer.CustomerDirectory;
+import org.lentilhinge.customer.DeclaredCustomers;
 import org.lentilhinge.dispatch.EndpointPauses;
 import org.lentilhinge.dispatch.SendCondition;
 import org.lentilhinge.dispatch.SendObstacle;
@@ -59,6 +61,7 @@
   private final Map<String, Long> adapterVersions = new HashMap<>();
   private Optional<ForwardConfiguration> configuration = Optional.empty();
   private RouteTable routes = new RouteTable(List.of());
+  private CustomerDirectory customers = new CustomerDirectory(DeclaredCustomers.NONE);
   private StoreRevision storeRevision = StoreRevision.NONE;
   private OptionalLong revisionRequestedAtMillis = OptionalLong.empty();
   private Runnable revisionReader = () -> {};
@@ -137,6 +140,10 @@
     return routes;
   }
 
+  CustomerDirectory customers() {
+    return customers;
+  }
+
   ForwardLimits forwardLimits() {
     return configuration.map(ForwardConfiguration::limits).orElse(ForwardLimits.DEFAULT);
   }
@@ -152,6 +159,7 @@
     }
     configuration = Optional.of(next);
     routes = new RouteTable(next.routes());
+    customers = new CustomerDirectory(next.customers());
     return true;
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestMetadata.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestMetadata.java
@@ -13,13 +13,32 @@
  * @param resumeAfter the id of the last event that the caller has received
  * @param resumedRequestId the id of the request that received the first event of the stream that
  *     the caller resumes
+ * @param apiKeys the values of all headers that contain the key of the caller
+ * @param tokens the number of tokens that the request states, read and generated together
  */
 public record RequestMetadata(
     Optional<String> requestId,
     OptionalLong remainingMillis,
     Optional<Generation> generation,
     Optional<String> resumeAfter,
-    Optional<String> resumedRequestId) {
+    Optional<String> resumedRequestId,
+    List<String> apiKeys,
+    OptionalLong tokens) {
+
+  /**
+   * Copies the keys.
+   *
+   * @param requestId the id of the request
+   * @param remainingMillis the time until the deadline
+   * @param generation the requested generation
+   * @param resumeAfter the id of the last event
+   * @param resumedRequestId the id of the resumed request
+   * @param apiKeys the keys
+   * @param tokens the number of tokens
+   */
+  public RequestMetadata {
+    apiKeys = List.copyOf(apiKeys);
+  }
 
   /**
    * The parameters of a generation.
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestPermit.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestPermit.java
@@ -67,7 +67,8 @@
             priority,
             times.targetMillis(),
             times.remainingMillis(),
-            state.limits().find(engine.incarnation()));
+            state.limits().find(engine.incarnation()),
+            Optional.empty());
     logRequest(engine, host, request);
     state
         .engineSelector()
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.lentilhinge.customer.Customer;
+import org.lentilhinge.customer.DeclaredCustomers;
 import org.lentilhinge.fleet.EndpointDepartureNews;
 import org.lentilhinge.fleet.EndpointDepartures;
 import org.lentilhinge.fleet.EndpointState;
@@ -286,13 +288,28 @@
         new ForwardSettings.Bounds(8_000, 3_000, 4, 100, 10_000));
   }
 
+  /** Applies a configuration with the same routes that declares customers. */
+  void declareCustomers(List<Customer> customers, long version) {
+    ForwardConfiguration former = configuration();
+    onLoop(
+        () ->
+            state.applyConfiguration(
+                new ForwardConfiguration(
+                    new DeclaredVersion(version, new StoreRevision(0, version)),
+                    former.routes(),
+                    former.services(),
+                    former.limits(),
+                    new DeclaredCustomers(true, customers))));
+  }
+
   private static ForwardConfiguration configuration() {
     List<ForwardRoute> routes =
         List.of(
             route("/safe/", RequestKind.SAFE, false),
             route("/unsafe/", RequestKind.UNSAFE, false),
             route("/stream/", RequestKind.STREAM, false),
-            route("/resumable/", RequestKind.STREAM, true));
+            route("/resumable/", RequestKind.STREAM, true),
+            publicRoute());
     ForwardService service = new ForwardService("s", 100, Optional.empty());
     return new ForwardConfiguration(
         new DeclaredVersion(1, new StoreRevision(0, 1)),
@@ -303,7 +320,13 @@
 
   private static ForwardRoute route(String prefix, RequestKind kind, boolean resumable) {
     List<ServiceShare> shares = List.of(new ServiceShare("s", 1));
-    return new ForwardRoute(prefix, "h", prefix, kind, 2_000, 500, 0, shares, 2, resumable);
+    return new ForwardRoute(prefix, "h", prefix, kind, 2_000, 500, 0, shares, 2, resumable, false);
+  }
+
+  private static ForwardRoute publicRoute() {
+    List<ServiceShare> shares = List.of(new ServiceShare("s", 1));
+    return new ForwardRoute(
+        "public", "h", "/public/", RequestKind.SAFE, 2_000, 500, 0, shares, 2, false, true);
   }
 
   /** Opens the connection of a caller. */
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/LargeConfigurationTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/LargeConfigurationTest.java
@@ -64,6 +64,7 @@
               1,
               List.of(new ServiceShare("huvo11a", 90), new ServiceShare("wuno96b", 10)),
               1,
+              false,
               false));
     }
     ForwardService service = new ForwardService("huvo11a", 370, Optional.empty());
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/LinkedHosts.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/LinkedHosts.java
@@ -158,7 +158,7 @@
   private static ForwardRoute route(
       String prefix, RequestKind kind, String service, boolean resumable) {
     List<ServiceShare> shares = List.of(new ServiceShare(service, 1));
-    return new ForwardRoute(prefix, "h", prefix, kind, 2_000, 500, 0, shares, 2, resumable);
+    return new ForwardRoute(prefix, "h", prefix, kind, 2_000, 500, 0, shares, 2, resumable, false);
   }
 
   @Override
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineFixture.java
@@ -210,6 +210,18 @@
     runner.submit(
         "h",
         new PermitRequest(
-            lastPermitId, "r", "e/1", "m", adapter, 0, 500, 50, 1, 1_000, 5_000, Optional.empty()));
+            lastPermitId,
+            "r",
+            "e/1",
+            "m",
+            adapter,
+            0,
+            500,
+            50,
+            1,
+            1_000,
+            5_000,
+            Optional.empty(),
+            Optional.empty()));
   }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/PlainHeaderTranslator.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/PlainHeaderTranslator.java
@@ -18,13 +18,22 @@
         Optional.ofNullable(headers.get("X-Parts"))
             .map(parts -> new RequestMetadata.Generation("m", "", 1, 1, List.of(parts.split(",")))),
         Optional.ofNullable(headers.get("X-Resume")),
-        Optional.ofNullable(headers.get("X-Resumes")));
+        Optional.ofNullable(headers.get("X-Resumes")),
+        headers.getAll("X-Key"),
+        headers.contains("X-Tokens")
+            ? OptionalLong.of(Long.parseLong(headers.get("X-Tokens")))
+            : OptionalLong.empty());
   }
 
   @Override
   public void prepare(HttpHeaders headers, EndpointRequestMetadata metadata) {
     headers.set("X-Deadline", metadata.remainingMillis());
     headers.set("X-Endpoint", metadata.endpointId());
+    if (metadata.identity().declared()) {
+      headers.remove("X-Key");
+      headers.remove("X-Customer");
+      metadata.identity().customerName().ifPresent(name -> headers.set("X-Customer", name));
+    }
     metadata.resumeAfter().ifPresent(eventId -> headers.set("X-Resume", eventId));
   }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedHost.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedHost.java
@@ -200,6 +200,7 @@
             1,
             PERMIT_TIMEOUT_MILLIS,
             5 * PERMIT_TIMEOUT_MILLIS,
+            Optional.empty(),
             Optional.empty()),
         answer -> {
           answered[0] = true;
