Give adapters as many engines as their demand needs

Engine statuses now state the demand for the most requested adapters. An adapter whose demand over all engines needs more than two engines is spread over the first k of its rendezvous order; requests choose at random among those of nearly equal cost. The owners of these engines load the adapter ahead of its requests, in place of an idle one with less demand. While any adapter is spread, a request waits for a third of its target at one engine at most, and is refused at once where it would wait longer. Adapters with little demand are served as before.

SlotTurnover is cut out of EngineScheduler.

--- a/core/src/main/java/org/lentilhinge/permit/AdapterDemand.java
+++ b/core/src/main/java/org/lentilhinge/permit/AdapterDemand.java
@@ -10,6 +10,7 @@
 final class AdapterDemand {
 
   private static final double HALF_LIFE_MILLIS = 8_000;
+  private static final double MILLIS_PER_SECOND = 1_000;
   private static final int MAXIMUM_ADAPTERS = 4_096;
 
   private final Map<String, Weight> weights = new HashMap<>();
@@ -31,6 +32,11 @@
     return weight == null ? 0 : weight.decayedTo(nowMillis);
   }
 
+  /** Returns the request count that a lasting demand leads to. */
+  static double expectedWeight(double requestsPerSecond) {
+    return requestsPerSecond * HALF_LIFE_MILLIS / (MILLIS_PER_SECOND * Math.log(2));
+  }
+
   private record Weight(double value, long updatedAtMillis) {
 
     double decayedTo(long nowMillis) {
--- a/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.lentilhinge.demand.DemandMeter;
 import org.lentilhinge.limit.RequestRate;
 
 /**
@@ -28,11 +29,12 @@
   private final String model;
   private final AdapterSlots slots;
   private final AdapterDemand demand = new AdapterDemand();
+  private final DemandMeter meter = new DemandMeter();
   private final PromptBacklog backlog;
   private final SlotWaitEstimator slotWaits = new SlotWaitEstimator();
   private final RequestQueue queue = new RequestQueue();
   private final RunningRequests running = new RunningRequests();
-  private final DrainingAdapter draining = new DrainingAdapter();
+  private final SlotTurnover turnover;
   private final RequestRate rate;
   private long unreachableUntilMillis;
   private boolean awaitingReport;
@@ -41,9 +43,6 @@
   private boolean canOrder;
   private long canOrderInMillis;
 
-  /** The number of slots being freed that no waiting request has claimed in this decision. */
-  private int unclaimedSlots;
-
   /**
    * Creates a scheduler.
    *
@@ -64,9 +63,19 @@
     this.model = model;
     this.modelPresent = modelPresent;
     this.slots = new AdapterSlots(settings.adapterSlots());
+    this.turnover = new SlotTurnover(settings, model, slots, demand);
     this.backlog = new PromptBacklog(tokensPerMillisecond);
   }
 
+  /**
+   * Returns the base model that the engine serves.
+   *
+   * @return the model's name
+   */
+  public String model() {
+    return model;
+  }
+
   /** Queues all permit requests until the engine's first report, which lists loaded adapters. */
   public void awaitReport() {
     awaitingReport = true;
@@ -160,7 +169,7 @@
    * @return a refusal if the request cannot be served in time, else the commands to carry out
    */
   public List<EngineCommand> submit(String host, PermitRequest request, long nowMillis) {
-    demand.recordRequest(request.adapter(), nowMillis);
+    recordDemand(request, nowMillis);
     if (isUnreachable(nowMillis)) {
       return List.of(
           EngineCommand.Answer.refusal(host, request, UNREACHABLE_BACKOFF_MILLIS, UNREACHABLE, 0));
@@ -174,8 +183,9 @@
     }
     long waitMillis = expectedWaitMillis(request, nowMillis);
     long firstMillis = waitMillis + backlog.prefillMillis(request.promptTokens()) + OVERHEAD_MILLIS;
-    if (firstMillis > request.remainingTargetMillis()
-        && waitMillis > QueueEntry.MINIMUM_RUN_MILLIS) {
+    boolean late =
+        firstMillis > request.remainingTargetMillis() && waitMillis > QueueEntry.MINIMUM_RUN_MILLIS;
+    if (late || waitMillis > QueueEntry.maximumWaitMillis(request)) {
       return List.of(EngineCommand.Answer.refusal(host, request, waitMillis, "no-room", 0));
     }
     int slotsAhead = needsSlot(request) ? queue.adaptersWithoutSlot(slots) : QueueEntry.NO_SLOT;
@@ -183,6 +193,15 @@
     return decide(nowMillis);
   }
 
+  private void recordDemand(PermitRequest request, long nowMillis) {
+    demand.recordRequest(request.adapter(), nowMillis);
+    boolean repeated = request.terms().filter(PermitTerms::repeated).isPresent();
+    if (!repeated && !request.adapter().isEmpty()) {
+      double prefillMillis = request.promptTokens() / backlog.tokensPerMillisecond();
+      meter.recordRequest(request.adapter(), prefillMillis, nowMillis);
+    }
+  }
+
   private boolean needsUnavailableOrder(PermitRequest request) {
     boolean loaded =
         request.adapter().isEmpty() || slots.isResident(request.adapter(), request.version());
@@ -250,7 +269,7 @@
       PermitRequest request, Optional<AdapterSlot> slot, long nowMillis) {
     List<EngineCommand> commands = new ArrayList<>();
     if (canOrder && slot.isPresent() && slot.get().state == AdapterSlot.State.RESIDENT) {
-      load(request, "said-absent", nowMillis, commands);
+      turnover.load(request.adapter(), request.version(), "said-absent", nowMillis, commands);
     }
     commands.addAll(decide(nowMillis));
     return commands;
@@ -289,23 +308,30 @@
       modelPresent |= done;
       return decide(nowMillis);
     }
-    Optional<AdapterSlot> slot = slots.find(order.adapter());
-    if (order.load() && done) {
-      slot.ifPresent(
-          found -> {
-            found.state = AdapterSlot.State.RESIDENT;
-            found.version = Math.max(found.version, order.version());
-            found.changedAtMillis = nowMillis;
-            found.lastUsedAtMillis = nowMillis;
-          });
-    } else if (order.load() || done) {
-      slots.remove(order.adapter());
-    } else {
-      slot.ifPresent(found -> found.state = AdapterSlot.State.RESIDENT);
-    }
+    turnover.recordOrder(order, done, nowMillis);
     return decide(nowMillis);
   }
 
+  /**
+   * Loads an adapter ahead of its requests, if the engine has no other order to carry out and a
+   * slot is free or holds an idle adapter with less demand.
+   *
+   * @param adapter the adapter's name
+   * @param version its announced version, or 0 if none was announced
+   * @param requestsPerSecond the demand that is expected at this engine
+   * @param nowMillis the current time, in milliseconds
+   * @return the commands to carry out
+   */
+  public List<EngineCommand> loadAhead(
+      String adapter, long version, double requestsPerSecond, long nowMillis) {
+    List<EngineCommand> commands = new ArrayList<>();
+    if (canOrder && modelPresent && !awaitingReport && !isUnreachable(nowMillis)) {
+      double weight = AdapterDemand.expectedWeight(requestsPerSecond);
+      turnover.loadAhead(adapter, version, weight, queue.adapters(), nowMillis, commands);
+    }
+    return commands;
+  }
+
   /**
    * Makes all decisions that are possible now.
    *
@@ -323,7 +349,7 @@
       return commands;
     }
     Set<String> requested = queue.adapters();
-    unclaimedSlots = slots.unloading();
+    turnover.begin();
     for (QueueEntry entry : queue.byUrgency(nowMillis)) {
       decide(entry, requested, nowMillis, commands);
     }
@@ -344,11 +370,15 @@
     if (request.adapter().isEmpty()) {
       grant(entry, Optional.empty(), nowMillis, commands);
     } else if (slot.isEmpty()) {
-      loadOrEvict(entry, requested, nowMillis, commands);
+      if (canOrder) {
+        turnover.loadOrEvict(entry, queue, requested, running, nowMillis, commands);
+      }
     } else if (slot.get().state == AdapterSlot.State.RESIDENT) {
       if (canOrder && slot.get().version < request.version()) {
-        load(request, "version-announced", nowMillis, commands);
-      } else if (slot.get().version >= request.version() && !draining.matches(request.adapter())) {
+        turnover.load(
+            request.adapter(), request.version(), "version-announced", nowMillis, commands);
+      } else if (slot.get().version >= request.version()
+          && !turnover.isDraining(request.adapter())) {
         grant(entry, slot, nowMillis, commands);
       }
     }
@@ -382,47 +412,6 @@
     }
   }
 
-  private void loadOrEvict(
-      QueueEntry entry, Set<String> requested, long nowMillis, List<EngineCommand> commands) {
-    if (!canOrder || slots.loading() >= settings.maximumLoads()) {
-      return;
-    }
-    if (slots.free() > 0) {
-      load(entry.request(), "absent", nowMillis, commands);
-      return;
-    }
-    if (unclaimedSlots > 0) {
-      unclaimedSlots--;
-      return;
-    }
-    Optional<AdapterSlot> evicted = slots.evictionCandidate(requested, demand, nowMillis);
-    if (evicted.isEmpty()
-        && DrainingAdapter.isDue(entry.waitedMillis(nowMillis), queue.adaptersWithoutSlot(slots))) {
-      evicted = draining.drainOne(slots, requested, running);
-    }
-    evicted.ifPresent(
-        slot -> {
-          slot.state = AdapterSlot.State.UNLOADING;
-          draining.end(slot.adapter);
-          AdapterOrder order = new AdapterOrder(false, model, slot.adapter, 0);
-          commands.add(new EngineCommand.Order(order, "for:" + entry.request().adapter()));
-        });
-  }
-
-  private void load(
-      PermitRequest request, String reason, long nowMillis, List<EngineCommand> commands) {
-    Optional<AdapterSlot> existing = slots.find(request.adapter());
-    AdapterSlot slot =
-        existing.orElseGet(
-            () ->
-                slots.put(
-                    request.adapter(), request.version(), AdapterSlot.State.LOADING, nowMillis));
-    slot.state = AdapterSlot.State.LOADING;
-    slot.changedAtMillis = nowMillis;
-    AdapterOrder order = new AdapterOrder(true, model, request.adapter(), request.version());
-    commands.add(new EngineCommand.Order(order, reason));
-  }
-
   private void refuseOverdue(long nowMillis, List<EngineCommand> commands) {
     int ahead = 0;
     for (QueueEntry entry : queue.all()) {
@@ -454,15 +443,17 @@
    */
   public EngineStatus status(String incarnation, boolean owned, long nowMillis) {
     if (isUnreachable(nowMillis)) {
-      return new EngineStatus(incarnation, owned, List.of(), UNREACHABLE_BACKOFF_MILLIS, 0, 0);
+      return new EngineStatus(incarnation, owned, List.of(), UNREACHABLE_BACKOFF_MILLIS, 0, 0)
+          .withLoads(meter.loads(nowMillis));
     }
     return new EngineStatus(
-        incarnation,
-        owned,
-        slots.loadedOrLoadingNames(),
-        Math.max(prefillMillis(nowMillis), rate.waitMillis(queue.size(), nowMillis)),
-        slots.available(),
-        queue.adaptersWithoutSlot(slots));
+            incarnation,
+            owned,
+            slots.loadedOrLoadingNames(),
+            Math.max(prefillMillis(nowMillis), rate.waitMillis(queue.size(), nowMillis)),
+            slots.available(),
+            queue.adaptersWithoutSlot(slots))
+        .withLoads(meter.loads(nowMillis));
   }
 
   /**
--- a/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
@@ -1,5 +1,6 @@
 package org.lentilhinge.permit;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -8,9 +9,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
+import org.lentilhinge.demand.FleetDemand;
+import org.lentilhinge.demand.PreferredEngines;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.ZoneDistances;
-import org.lentilhinge.lease.RendezvousHash;
 
 /**
  * Selects the engine that is expected to send the first event of a request soonest, by the statuses
@@ -38,6 +40,19 @@
   /** The cost of a load on any other engine, in milliseconds. */
   private static final double OTHER_LOAD_MILLIS = 800;
 
+  /**
+   * The cost of a load on one of several preferred engines, in milliseconds: the time of a load.
+   * These engines load the adapter ahead of its requests.
+   */
+  private static final double SPREAD_LOAD_MILLIS = 250;
+
+  /**
+   * The difference of costs up to which engines count as equal, in milliseconds. Statuses are as
+   * old as the time in which an engine receives a few requests; hosts that all chose the engine
+   * with the lowest cost would overload it.
+   */
+  private static final double EQUAL_COST_MILLIS = 60;
+
   /** The added cost of an absent adapter if no order can be sent to the engine, in milliseconds. */
   private static final double NO_OWNER_MILLIS = 800;
 
@@ -50,6 +65,7 @@
   private final Map<String, ReceivedStatus> statuses = new HashMap<>();
   private final Map<String, UnreportedRequests> unreported = new HashMap<>();
   private final OwnershipClaims claims = new OwnershipClaims();
+  private final FleetDemand demand = new FleetDemand();
 
   /** Creates a selector without engine statuses. */
   public EngineSelector() {}
@@ -77,9 +93,19 @@
     if (authoritative || nowMillis - former.receivedAtMillis() > MAXIMUM_STATUS_AGE_MILLIS) {
       statuses.put(status.incarnation(), new ReceivedStatus(host, status, nowMillis));
       unreported.remove(status.incarnation());
+      demand.update(status.incarnation(), status.loads());
     }
   }
 
+  /**
+   * Returns the demand for adapters, as of the recorded statuses.
+   *
+   * @return the demand over all engines
+   */
+  public FleetDemand demand() {
+    return demand;
+  }
+
   /**
    * Returns the claims of the ownership of engines, as of the recorded statuses.
    *
@@ -109,7 +135,16 @@
    * @param host the host that failed or left
    */
   public void removeHost(String host) {
-    statuses.values().removeIf(entry -> entry.host().equals(host));
+    statuses
+        .values()
+        .removeIf(
+            entry -> {
+              boolean removed = entry.host().equals(host);
+              if (removed) {
+                demand.remove(entry.status().incarnation());
+              }
+              return removed;
+            });
   }
 
   /**
@@ -121,6 +156,7 @@
     statuses.remove(incarnation);
     unreported.remove(incarnation);
     claims.removeEngine(incarnation);
+    demand.remove(incarnation);
   }
 
   /**
@@ -161,8 +197,9 @@
    * @param adapter the adapter's name, or an empty string for the base model
    * @param distances the cost of the distance to each zone, in milliseconds
    * @param failureCost the cost of the recent failures of an engine, in milliseconds
+   * @param choice a number that differs from request to request
    * @param nowMillis the current time, in milliseconds
-   * @return the engine with the lowest cost, or empty if all engines are excluded
+   * @return an engine with the lowest cost, or empty if all engines are excluded
    */
   public Optional<FleetEndpoint> select(
       Collection<FleetEndpoint> engines,
@@ -170,36 +207,42 @@
       String adapter,
       ZoneDistances distances,
       ToDoubleFunction<FleetEndpoint> failureCost,
+      long choice,
       long nowMillis) {
-    List<String> preferred = preferredEngines(engines, adapter);
-    return engines.stream()
-        .filter(engine -> !excluded.contains(engine.incarnation()))
-        .min(
-            (first, second) ->
-                Double.compare(
-                    failureCost.applyAsDouble(first)
-                        + costMillis(first, adapter, preferred, distances, nowMillis),
-                    failureCost.applyAsDouble(second)
-                        + costMillis(second, adapter, preferred, distances, nowMillis)));
-  }
-
-  /**
-   * Returns the adapter's preferred and secondary engine, which are the same for all hosts, so that
-   * few engines load it.
-   */
-  private static List<String> preferredEngines(Collection<FleetEndpoint> engines, String adapter) {
-    return engines.stream()
-        .sorted(
-            (first, second) ->
-                Long.compareUnsigned(
-                    RendezvousHash.weight(adapter, second.id()),
-                    RendezvousHash.weight(adapter, first.id())))
-        .limit(2)
-        .map(FleetEndpoint::incarnation)
-        .toList();
+    int count = demand.engines(adapter, nowMillis);
+    List<String> preferred = PreferredEngines.first(engines, adapter, count);
+    double toleranceMillis = count > FleetDemand.MINIMUM_ENGINES ? EQUAL_COST_MILLIS : 0;
+    List<FleetEndpoint> candidates = new ArrayList<>();
+    double[] costs = new double[engines.size()];
+    double lowest = Double.POSITIVE_INFINITY;
+    for (FleetEndpoint engine : engines) {
+      if (!excluded.contains(engine.incarnation())) {
+        double cost =
+            failureCost.applyAsDouble(engine)
+                + costMillis(engine, adapter, preferred, distances, nowMillis);
+        costs[candidates.size()] = cost;
+        candidates.add(engine);
+        lowest = Math.min(lowest, cost);
+      }
+    }
+    List<FleetEndpoint> best = new ArrayList<>();
+    for (int index = 0; index < candidates.size(); index++) {
+      if (costs[index] <= lowest + toleranceMillis) {
+        best.add(candidates.get(index));
+      }
+    }
+    if (best.isEmpty()) {
+      return Optional.empty();
+    }
+    // Without a tolerance the first of several equal engines is selected.
+    int index = toleranceMillis == 0 ? 0 : (int) Long.remainderUnsigned(choice, best.size());
+    return Optional.of(best.get(index));
   }
 
-  private static double loadCostMillis(int preference) {
+  private static double loadCostMillis(int preference, int preferredCount) {
+    if (preferredCount > FleetDemand.MINIMUM_ENGINES) {
+      return preference < 0 ? OTHER_LOAD_MILLIS : SPREAD_LOAD_MILLIS;
+    }
     return switch (preference) {
       case 0 -> PREFERRED_LOAD_MILLIS;
       case 1 -> SECONDARY_LOAD_MILLIS;
@@ -223,7 +266,7 @@
             || status.filter(current -> current.adapters().contains(adapter)).isPresent();
     cost += pending == null ? 0 : pending.prefillMillis;
     if (!loaded) {
-      cost += loadCostMillis(preferred.indexOf(engine.incarnation()));
+      cost += loadCostMillis(preferred.indexOf(engine.incarnation()), preferred.size());
     }
     if (status.isPresent()) {
       cost += status.get().backlogMillis();
--- a/core/src/main/java/org/lentilhinge/permit/EngineStatus.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineStatus.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.permit;
 
 import java.util.List;
+import org.lentilhinge.demand.AdapterLoad;
 
 /**
  * The status of an engine, which the host that runs its scheduler sends to all hosts.
@@ -14,6 +15,7 @@
  * @param waitingAdapters the number of adapters whose requests wait for a slot
  * @param fencingToken the fencing token of the sender's orders; 0 if the sender does not own the
  *     engine or does not state its token
+ * @param loads the demand for the adapters that are requested most at the engine
  */
 public record EngineStatus(
     String incarnation,
@@ -22,7 +24,8 @@
     long backlogMillis,
     int availableSlots,
     int waitingAdapters,
-    long fencingToken) {
+    long fencingToken,
+    List<AdapterLoad> loads) {
 
   /**
    * Copies the adapters.
@@ -34,13 +37,15 @@
    * @param availableSlots the number of available slots
    * @param waitingAdapters the number of adapters that wait for a slot
    * @param fencingToken the fencing token, or 0
+   * @param loads the demand for adapters
    */
   public EngineStatus {
     adapters = List.copyOf(adapters);
+    loads = List.copyOf(loads);
   }
 
   /**
-   * Creates a status without a fencing token.
+   * Creates a status without a fencing token and demand.
    *
    * @param incarnation the incarnation of the engine
    * @param owned whether the sender owns the engine
@@ -56,7 +61,8 @@
       long backlogMillis,
       int availableSlots,
       int waitingAdapters) {
-    this(incarnation, owned, adapters, backlogMillis, availableSlots, waitingAdapters, 0);
+    this(
+        incarnation, owned, adapters, backlogMillis, availableSlots, waitingAdapters, 0, List.of());
   }
 
   /**
@@ -67,11 +73,29 @@
    */
   public EngineStatus withFencingToken(long token) {
     return new EngineStatus(
-        incarnation, owned, adapters, backlogMillis, availableSlots, waitingAdapters, token);
+        incarnation, owned, adapters, backlogMillis, availableSlots, waitingAdapters, token, loads);
   }
 
   EngineStatus withBacklog(long millis) {
     return new EngineStatus(
-        incarnation, owned, adapters, millis, availableSlots, waitingAdapters, fencingToken);
+        incarnation, owned, adapters, millis, availableSlots, waitingAdapters, fencingToken, loads);
+  }
+
+  /**
+   * Returns this status with the demand for adapters.
+   *
+   * @param demand the demand for the adapters that are requested most
+   * @return the status
+   */
+  public EngineStatus withLoads(List<AdapterLoad> demand) {
+    return new EngineStatus(
+        incarnation,
+        owned,
+        adapters,
+        backlogMillis,
+        availableSlots,
+        waitingAdapters,
+        fencingToken,
+        demand);
   }
 }
--- a/core/src/main/java/org/lentilhinge/permit/QueueEntry.java
+++ b/core/src/main/java/org/lentilhinge/permit/QueueEntry.java
@@ -47,7 +47,17 @@
   boolean isOverdue(long nowMillis) {
     long waited = waitedMillis(nowMillis);
     return waited + MINIMUM_RUN_MILLIS >= request.remainingMillis()
-        || waited >= request.remainingTargetMillis() * MAXIMUM_WAIT_FRACTION;
+        || waited >= request.remainingTargetMillis() * MAXIMUM_WAIT_FRACTION
+        || waited >= maximumWaitMillis(request);
+  }
+
+  /** Returns the longest wait that the sender of a request states, in milliseconds. */
+  static long maximumWaitMillis(PermitRequest request) {
+    return request
+        .terms()
+        .map(PermitTerms::maximumWaitMillis)
+        .filter(millis -> millis > 0)
+        .orElse(Long.MAX_VALUE);
   }
 
   /** Refuses the request; the requesting host should retry after a time in milliseconds. */
--- /dev/null
+++ b/core/src/main/java/org/lentilhinge/permit/SlotTurnover.java
@@ -0,0 +1,126 @@
+package org.lentilhinge.permit;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Decides which adapters an engine loads, and which ones it unloads to make room for them. */
+final class SlotTurnover {
+
+  private final SchedulerSettings settings;
+  private final String model;
+  private final AdapterSlots slots;
+  private final AdapterDemand demand;
+  private final DrainingAdapter draining = new DrainingAdapter();
+
+  /** The number of slots being freed that no waiting request has claimed in this decision. */
+  private int unclaimedSlots;
+
+  SlotTurnover(SchedulerSettings settings, String model, AdapterSlots slots, AdapterDemand demand) {
+    this.settings = settings;
+    this.model = model;
+    this.slots = slots;
+    this.demand = demand;
+  }
+
+  /** Begins a decision about all waiting requests. */
+  void begin() {
+    unclaimedSlots = slots.unloading();
+  }
+
+  /** Indicates whether an adapter gets no new requests, so that it can be unloaded. */
+  boolean isDraining(String adapter) {
+    return draining.matches(adapter);
+  }
+
+  /** Loads the adapter of a waiting request, or begins to free a slot for it. */
+  void loadOrEvict(
+      QueueEntry entry,
+      RequestQueue queue,
+      Set<String> requested,
+      RunningRequests running,
+      long nowMillis,
+      List<EngineCommand> commands) {
+    if (slots.loading() >= settings.maximumLoads()) {
+      return;
+    }
+    PermitRequest request = entry.request();
+    if (slots.free() > 0) {
+      load(request.adapter(), request.version(), "absent", nowMillis, commands);
+      return;
+    }
+    if (unclaimedSlots > 0) {
+      unclaimedSlots--;
+      return;
+    }
+    Optional<AdapterSlot> evicted = slots.evictionCandidate(requested, demand, nowMillis);
+    if (evicted.isEmpty()
+        && DrainingAdapter.isDue(entry.waitedMillis(nowMillis), queue.adaptersWithoutSlot(slots))) {
+      evicted = draining.drainOne(slots, requested, running);
+    }
+    evicted.ifPresent(slot -> unload(slot, "for:" + request.adapter(), commands));
+  }
+
+  /**
+   * Loads an adapter for which no request waits yet, in place of an idle one with less demand. The
+   * slot that is freed for it is used by a later call.
+   */
+  void loadAhead(
+      String adapter,
+      long version,
+      double weight,
+      Set<String> requested,
+      long nowMillis,
+      List<EngineCommand> commands) {
+    boolean busy = slots.loading() > 0 || slots.unloading() > 0;
+    if (busy || slots.find(adapter).isPresent()) {
+      return;
+    }
+    if (slots.free() > 0) {
+      load(adapter, version, "demand", nowMillis, commands);
+      return;
+    }
+    slots
+        .evictionCandidate(requested, demand, nowMillis)
+        .filter(slot -> demand.weight(slot.adapter, nowMillis) < weight)
+        .ifPresent(slot -> unload(slot, "for:" + adapter, commands));
+  }
+
+  private void unload(AdapterSlot slot, String reason, List<EngineCommand> commands) {
+    slot.state = AdapterSlot.State.UNLOADING;
+    draining.end(slot.adapter);
+    AdapterOrder order = new AdapterOrder(false, model, slot.adapter, 0);
+    commands.add(new EngineCommand.Order(order, reason));
+  }
+
+  /** Loads an adapter, or the announced version of one that is loaded. */
+  void load(
+      String adapter, long version, String reason, long nowMillis, List<EngineCommand> commands) {
+    AdapterSlot slot =
+        slots
+            .find(adapter)
+            .orElseGet(() -> slots.put(adapter, version, AdapterSlot.State.LOADING, nowMillis));
+    slot.state = AdapterSlot.State.LOADING;
+    slot.changedAtMillis = nowMillis;
+    AdapterOrder order = new AdapterOrder(true, model, adapter, version);
+    commands.add(new EngineCommand.Order(order, reason));
+  }
+
+  /** Records that an order for an adapter was carried out or has failed. */
+  void recordOrder(AdapterOrder order, boolean done, long nowMillis) {
+    Optional<AdapterSlot> slot = slots.find(order.adapter());
+    if (order.load() && done) {
+      slot.ifPresent(
+          found -> {
+            found.state = AdapterSlot.State.RESIDENT;
+            found.version = Math.max(found.version, order.version());
+            found.changedAtMillis = nowMillis;
+            found.lastUsedAtMillis = nowMillis;
+          });
+    } else if (order.load() || done) {
+      slots.remove(order.adapter());
+    } else {
+      slot.ifPresent(found -> found.state = AdapterSlot.State.RESIDENT);
+    }
+  }
+}
--- a/core/src/test/java/org/lentilhinge/permit/EngineSelectorTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineSelectorTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.lentilhinge.demand.AdapterLoad;
 import org.lentilhinge.fleet.EndpointState;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.ZoneDistances;
@@ -40,7 +41,7 @@
 
   private String selected(EngineSelector selector, String adapter, long nowMillis) {
     return selector
-        .select(engines, Set.of(), adapter, distances, engine -> 0, nowMillis)
+        .select(engines, Set.of(), adapter, distances, engine -> 0, 0, nowMillis)
         .orElseThrow()
         .id();
   }
@@ -76,7 +77,7 @@
       String name = "a" + adapter;
       String preferred = selected(selector, name, 0);
       String other =
-          selector.select(engines, Set.of(), name, south, engine -> 0, 0).orElseThrow().id();
+          selector.select(engines, Set.of(), name, south, engine -> 0, 0, 0).orElseThrow().id();
       assertEquals(other, preferred, name);
       preferredCounts.merge(preferred, 1, Integer::sum);
     }
@@ -100,6 +101,62 @@
     assertFalse(secondaries.contains(selected(selector, "x", 0)));
   }
 
+  private EngineSelector withHotAdapter() {
+    EngineSelector selector = new EngineSelector();
+    for (String id : List.of("one", "two")) {
+      selector.updateStatus(
+          "h",
+          status(id, List.of("hot"), 0, 3).withLoads(List.of(new AdapterLoad("hot", 6, 0.5))),
+          0);
+    }
+    return selector;
+  }
+
+  // Hosts with the same statuses all chose the same engine until the next status.
+  @Test
+  public void requestsForSpreadAdapterAreDividedAmongItsEngines() {
+    EngineSelector selector = withHotAdapter();
+    Map<String, Integer> counts = new HashMap<>();
+    for (int request = 0; request < 100; request++) {
+      String id =
+          selector
+              .select(engines, Set.of(), "hot", distances, engine -> 0, request, 10)
+              .orElseThrow()
+              .id();
+      counts.merge(id, 1, Integer::sum);
+    }
+    assertEquals(counts, Map.of("one", 50, "two", 50));
+  }
+
+  @Test
+  public void requestForSpreadAdapterAvoidsBusyEngine() {
+    EngineSelector selector = withHotAdapter();
+    selector.updateStatus("h", status("two", List.of("hot"), 400, 3), 0);
+    for (int request = 0; request < 100; request++) {
+      assertEquals(
+          selector
+              .select(engines, Set.of(), "hot", distances, engine -> 0, request, 10)
+              .orElseThrow()
+              .id(),
+          "one");
+    }
+  }
+
+  // The choice for adapters with little demand must not depend on the request.
+  @Test
+  public void requestsForOtherAdaptersGoToTheirPreferredEngine() {
+    EngineSelector selector = withHotAdapter();
+    Set<String> selected = new HashSet<>();
+    for (int request = 0; request < 100; request++) {
+      selected.add(
+          selector
+              .select(engines, Set.of(), "cold", distances, engine -> 0, request, 10)
+              .orElseThrow()
+              .id());
+    }
+    assertEquals(selected.size(), 1);
+  }
+
   @Test
   public void statusOfTheOwnerTakesPrecedence() {
     EngineSelector selector = new EngineSelector();
--- a/core/src/test/java/org/lentilhinge/permit/OwnershipClaimsTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/OwnershipClaimsTest.java
@@ -23,7 +23,7 @@
   }
 
   private static EngineStatus owned(long fencingToken) {
-    return new EngineStatus(ENGINE, true, List.of(), 0, 6, 0, fencingToken);
+    return new EngineStatus(ENGINE, true, List.of(), 0, 6, 0).withFencingToken(fencingToken);
   }
 
   private Optional<Long> claimedElsewhereAt() {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
@@ -9,6 +9,7 @@
 import org.lentilhinge.dispatch.SendObstacle;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.ForwardService;
+import org.lentilhinge.lease.RendezvousHash;
 import org.lentilhinge.permit.PermitAnswer;
 
 /** Chooses the endpoints for one request, one after the other. */
@@ -21,6 +22,7 @@
   private final HostContext context;
   private final String service;
   private final String adapter;
+  private final long choiceHash;
   private final Set<String> excluded = new HashSet<>();
   private final SendCheck sendCheck;
   private int permitRequests;
@@ -29,13 +31,14 @@
    * Creates a choice for a new request.
    *
    * @param service the name of the service
-   * @param adapter the name of the adapter, or an empty string
+   * @param request the metadata of the request
    */
-  EndpointChoice(HostState state, HostContext context, String service, String adapter) {
+  EndpointChoice(HostState state, HostContext context, String service, RequestMetadata request) {
     this.state = state;
     this.context = context;
     this.service = service;
-    this.adapter = adapter;
+    adapter = request.generation().map(RequestMetadata.Generation::adapter).orElse("");
+    choiceHash = RendezvousHash.hash(request.requestId().orElse(""));
     this.sendCheck = new SendCheck(state, context);
   }
 
@@ -61,6 +64,7 @@
             adapter,
             state.distances(),
             engine -> state.scores().failureCostMillis(engine.incarnation(), context.now()),
+            choiceHash,
             context.now());
   }
 
@@ -113,6 +117,19 @@
     permitRequests++;
   }
 
+  /**
+   * Returns the times for the permit request that was recorded last. Where adapters are spread over
+   * several engines, a long wait for one of them would take the time for the others.
+   */
+  RequestPermit.Times permitTimes(long targetMillis, long elapsedMillis, long remainingMillis) {
+    boolean spread = !state.engineSelector().demand().spread(context.now()).isEmpty();
+    return new RequestPermit.Times(
+        targetMillis - elapsedMillis,
+        remainingMillis,
+        spread ? targetMillis / MAXIMUM_PERMIT_REQUESTS : 0,
+        permitRequests > 1);
+  }
+
   /** Withdraws a permit request that ended because the endpoint must not be used. */
   void withdrawPermitRequest() {
     permitRequests--;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -74,6 +74,7 @@
   private final StatusExchange statuses;
   private final HostState state;
   private final EndpointLimitRunner limits;
+  private final AheadLoader aheadLoader;
   private final Map<String, OwnedEngineRunner> runners = new HashMap<>();
   private final OrderCounts counts = new OrderCounts();
   private final Map<String, Long> engineKnownSinceMillis = new HashMap<>();
@@ -95,6 +96,7 @@
     this.statuses = statuses;
     this.state = state;
     this.limits = limits;
+    this.aheadLoader = new AheadLoader(state);
     this.createdAtMillis = context.now();
   }
 
@@ -362,6 +364,7 @@
       }
     }
     statuses.publish(published, orderCounts);
+    aheadLoader.load(List.copyOf(runners.values()), now);
   }
 
   /** Removes an engine that is no longer registered. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -86,7 +86,7 @@
             RequestDigest.of(exchange.request(), exchange.body()));
     this.continuation =
         new StreamContinuation(context, forwarder.streamOrigins(), requestMetadata, route, service);
-    this.choice = new EndpointChoice(state, context, service, generation().adapter());
+    this.choice = new EndpointChoice(state, context, service, requestMetadata);
     this.permit =
         new RequestPermit(forwarder, requestMetadata, identity.priority(route.priority()), log);
     this.keptFailure = new KeptFailure(context, forwarder.responseMemory());
@@ -202,8 +202,8 @@
     choice.recordPermitRequest();
     long version = permit.adapterVersion();
     RequestPermit.Times times =
-        new RequestPermit.Times(
-            route.targetMillis() - (context.now() - arrivedAtMillis), remainingMillis());
+        choice.permitTimes(
+            route.targetMillis(), context.now() - arrivedAtMillis, remainingMillis());
     if (choice.isEngineService()) {
       permit.request(engine, times, answer -> onPermitAnswer(engine, version, answer));
     } else {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.lentilhinge.demand.AdapterLoad;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.lease.RendezvousHash;
 import org.lentilhinge.permit.AdapterOrder;
@@ -115,6 +116,16 @@
         .withFencingToken(ownership.fencingToken().orElse(0));
   }
 
+  /** Loads an adapter ahead of its requests, if the engine has time and room for it. */
+  void loadAhead(AdapterLoad expected) {
+    if (!leaving && ownership.isOwner()) {
+      long version = state.adapterVersion(scheduler.model(), expected.adapter());
+      execute(
+          scheduler.loadAhead(
+              expected.adapter(), version, expected.requestsPerSecond(), context.now()));
+    }
+  }
+
   void submit(String host, PermitRequest request) {
     if (leaving) {
       String reason = PermitAnswer.ENDPOINT_LEFT;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestPermit.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestPermit.java
@@ -6,6 +6,7 @@
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
+import org.lentilhinge.permit.PermitTerms;
 
 /** The permit that one request has requested or holds; at most one at a time. */
 final class RequestPermit {
@@ -32,8 +33,18 @@
    *
    * @param targetMillis the time until the target of the first event, in milliseconds
    * @param remainingMillis the time until the deadline, in milliseconds
+   * @param maximumWaitMillis the longest wait for this permit, in milliseconds; 0 if there is no
+   *     bound
+   * @param repeated whether another engine has refused the request before
    */
-  record Times(long targetMillis, long remainingMillis) {}
+  record Times(long targetMillis, long remainingMillis, long maximumWaitMillis, boolean repeated) {
+
+    private Optional<PermitTerms> terms() {
+      return maximumWaitMillis > 0 || repeated
+          ? Optional.of(new PermitTerms(Optional.empty(), maximumWaitMillis, repeated))
+          : Optional.empty();
+    }
+  }
 
   RequestPermit(
       Forwarder forwarder, RequestMetadata requestMetadata, int priority, RequestLog log) {
@@ -68,7 +79,7 @@
             times.targetMillis(),
             times.remainingMillis(),
             state.limits().find(engine.incarnation()),
-            Optional.empty());
+            times.terms());
     logRequest(engine, host, request);
     state
         .engineSelector()
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/EndpointChoiceTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/EndpointChoiceTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import org.lentilhinge.fleet.EndpointState;
 import org.lentilhinge.fleet.FleetEndpoint;
@@ -84,7 +85,18 @@
     }
 
     private EndpointChoice choice() {
-      return new EndpointChoice(state, context, "s", "");
+      return new EndpointChoice(
+          state,
+          context,
+          "s",
+          new RequestMetadata(
+              Optional.of("r"),
+              OptionalLong.empty(),
+              Optional.empty(),
+              Optional.empty(),
+              Optional.empty(),
+              List.of(),
+              OptionalLong.empty()));
     }
 
     private void limit(String id) {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/FormerBuildMessageTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/FormerBuildMessageTest.java
@@ -77,13 +77,13 @@
     FormerOwner owner = new FormerOwner("h", List.of(status), List.of());
     byte[] bytes = formerCodec.encode(new FormerStatuses(List.of(owner), true));
     EngineStatuses received = (EngineStatuses) codec.decode(bytes).orElseThrow();
-    EngineStatus expected = new EngineStatus("e/1", true, List.of("x"), 4, 5, 6, 0);
+    EngineStatus expected = new EngineStatus("e/1", true, List.of("x"), 4, 5, 6);
     assertEquals(received.owners().get(0).statuses(), List.of(expected));
   }
 
   @Test
   public void claimOfThisBuildIsReadByFormerBuild() throws MessageFormatException {
-    EngineStatus status = new EngineStatus("e/1", true, List.of("x"), 4, 5, 6, 7);
+    EngineStatus status = new EngineStatus("e/1", true, List.of("x"), 4, 5, 6).withFencingToken(7);
     OwnerStatuses owner = new OwnerStatuses("h", List.of(status), List.of());
     byte[] bytes = codec.encode(new EngineStatuses(List.of(owner), false));
     FormerStatuses received = (FormerStatuses) formerCodec.decode(bytes).orElseThrow();
