--- a/core/src/main/java/org/lentilhinge/demand/FleetDemand.java
+++ b/core/src/main/java/org/lentilhinge/demand/FleetDemand.java
@@ -22,6 +22,12 @@
    */
   private static final double LOAD_PER_ENGINE = 0.4;
 
+  /**
+   * The load up to which the preferred and the secondary engine carry an adapter. Further engines
+   * would load it in place of other adapters, which costs more than a short wait.
+   */
+  private static final double LOAD_OF_MINIMUM_ENGINES = 1.5;
+
   /** The half-life of a demand that has fallen. */
   private static final double FALL_HALF_LIFE_MILLIS = 3_000;
 
@@ -111,7 +117,9 @@
    * @return the number, at least {@link #MINIMUM_ENGINES}
    */
   public static int engines(AdapterLoad load) {
-    return Math.max(MINIMUM_ENGINES, (int) Math.ceil(load.load() / LOAD_PER_ENGINE));
+    return load.load() <= LOAD_OF_MINIMUM_ENGINES
+        ? MINIMUM_ENGINES
+        : (int) Math.ceil(load.load() / LOAD_PER_ENGINE);
   }
 
   /**
--- a/core/src/test/java/org/lentilhinge/demand/FleetDemandTest.java
+++ b/core/src/test/java/org/lentilhinge/demand/FleetDemandTest.java
@@ -82,6 +82,7 @@
   public void littleDemandNeedsNoFurtherEngines() {
     FleetDemand demand = new FleetDemand();
     demand.update("e1", List.of(new AdapterLoad("x", 7, 0.75)));
+    demand.update("e2", List.of(new AdapterLoad("x", 7, 0.75)));
     assertEquals(demand.engines("x", 1_000), FleetDemand.MINIMUM_ENGINES);
     assertTrue(demand.spread(1_000).isEmpty());
   }
@@ -93,7 +94,7 @@
     demand.update("e1", List.of(new AdapterLoad("x", 40, 4)));
     assertEquals(demand.engines("x", 1_000), 10);
     demand.update("e1", List.of());
-    assertTrue(demand.engines("x", 1_500) >= 8);
+    assertEquals(demand.engines("x", 1_500), 9, 1);
     assertEquals(demand.engines("x", 60_000), FleetDemand.MINIMUM_ENGINES);
   }
 
