--- a/core/src/main/java/org/lentilhinge/permit/PermitTerms.java
+++ b/core/src/main/java/org/lentilhinge/permit/PermitTerms.java
@@ -7,7 +7,8 @@
  * terms is decided by its target time alone.
  *
  * @param customer the standing of the request's customer, if customers are declared
- * @param maximumWaitMillis the longest wait for a permit, in milliseconds; 0 if not stated
+ * @param maximumWaitMillis the longest expected wait for which the request is accepted, in
+ *     milliseconds; 0 if not stated
  * @param repeated whether another engine has refused the request before
  */
 public record PermitTerms(
--- a/core/src/main/java/org/lentilhinge/permit/QueueEntry.java
+++ b/core/src/main/java/org/lentilhinge/permit/QueueEntry.java
@@ -47,11 +47,10 @@
   boolean isOverdue(long nowMillis) {
     long waited = waitedMillis(nowMillis);
     return waited + MINIMUM_RUN_MILLIS >= request.remainingMillis()
-        || waited >= request.remainingTargetMillis() * MAXIMUM_WAIT_FRACTION
-        || waited >= maximumWaitMillis(request);
+        || waited >= request.remainingTargetMillis() * MAXIMUM_WAIT_FRACTION;
   }
 
-  /** Returns the longest wait that the sender of a request states, in milliseconds. */
+  /** Returns the longest expected wait for which a request is accepted, in milliseconds. */
   static long maximumWaitMillis(PermitRequest request) {
     return request
         .terms()
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestPermit.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestPermit.java
@@ -33,8 +33,8 @@
    *
    * @param targetMillis the time until the target of the first event, in milliseconds
    * @param remainingMillis the time until the deadline, in milliseconds
-   * @param maximumWaitMillis the longest wait for this permit, in milliseconds; 0 if there is no
-   *     bound
+   * @param maximumWaitMillis the longest expected wait for which the request is accepted, in
+   *     milliseconds; 0 if there is no bound
    * @param repeated whether another engine has refused the request before
    */
   record Times(long targetMillis, long remainingMillis, long maximumWaitMillis, boolean repeated) {
