Bound what customers use over all hosts by their quotas

Each host keeps a debt for each customer, and hosts report their use with the engine statuses. A request above the quota gets 429 with a time to return, and one that has certainly not run is refunded. A request whose caller disconnects after it was sent counts as possibly run.

--- /dev/null
+++ b/core/src/main/java/org/lentilhinge/allowance/HostUse.java
@@ -0,0 +1,65 @@
+package org.lentilhinge.allowance;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** The counters of another host, as of its latest report. */
+final class HostUse {
+
+  /**
+   * The silence after which the increase of a counter is not added to the debt, in milliseconds. It
+   * was admitted from another part of the quota, or long ago.
+   */
+  private static final long SILENCE_MILLIS = 1_000;
+
+  private final Map<String, AllowanceUse> counters = new HashMap<>();
+  private long life;
+  private long formerLife;
+  private long heardAtMillis;
+
+  HostUse(long life, long nowMillis) {
+    this.life = life;
+    this.formerLife = life;
+    this.heardAtMillis = nowMillis;
+  }
+
+  /** Returns whether a report is used; one of an earlier life may have been delayed at a relay. */
+  boolean accept(long reportedLife, long nowMillis) {
+    if (reportedLife == formerLife && reportedLife != life) {
+      return false;
+    }
+    if (reportedLife != life) {
+      formerLife = life;
+      life = reportedLife;
+      counters.clear();
+    } else if (nowMillis - heardAtMillis > SILENCE_MILLIS) {
+      counters.clear();
+    }
+    heardAtMillis = nowMillis;
+    return true;
+  }
+
+  /**
+   * Returns the units that were admitted since the last report, without those refunded.
+   *
+   * @param use the reported use
+   * @param firstFraction the fraction of the units of the last second that counts if no earlier
+   *     report is known
+   */
+  double increase(AllowanceUse use, double firstFraction) {
+    AllowanceUse former = counters.get(use.customer());
+    if (former == null) {
+      counters.put(use.customer(), use);
+      return Math.min(use.admitted() - use.refunded(), use.lastSecond()) * firstFraction;
+    }
+    // Two relays pass on the same reports, the slower one after a newer report of the other one.
+    long admitted = Math.max(former.admitted(), use.admitted());
+    long refunded = Math.max(former.refunded(), use.refunded());
+    counters.put(use.customer(), new AllowanceUse(use.customer(), admitted, refunded, 0));
+    return admitted - former.admitted() - (refunded - former.refunded());
+  }
+
+  long heardAtMillis() {
+    return heardAtMillis;
+  }
+}
--- a/core/src/main/java/org/lentilhinge/permit/StatusRelay.java
+++ b/core/src/main/java/org/lentilhinge/permit/StatusRelay.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import org.lentilhinge.allowance.AllowanceReport;
 import org.lentilhinge.overlay.HostRecord;
 import org.lentilhinge.overlay.OverlayCommand;
 import org.lentilhinge.overlay.RelaySelector;
@@ -41,10 +42,12 @@
   private static final class Collected {
     private final Map<String, EngineStatus> statuses = new LinkedHashMap<>();
     private final Map<String, OrderCount> counts = new LinkedHashMap<>();
+    private Optional<AllowanceReport> use = Optional.empty();
 
     private void add(OwnerStatuses newer) {
       newer.statuses().forEach(status -> statuses.put(status.incarnation(), status));
       newer.counts().forEach(count -> counts.put(count.incarnation(), count));
+      use = newer.use().map(report -> use.map(report::addedTo).orElse(report)).or(() -> use);
     }
   }
 
@@ -64,6 +67,7 @@
    * @param statuses the statuses of the engines whose schedulers this host runs
    * @param counts the order counts of these engines; all of them are sent for an engine without a
    *     status
+   * @param use what the customers of this host use, if that is due
    * @param hosts the other live hosts
    * @param reachable whether messages reach a host
    * @param nowMillis the current time, in milliseconds
@@ -72,6 +76,7 @@
   public List<OverlayCommand.Send> publish(
       List<EngineStatus> statuses,
       List<OrderCount> counts,
+      Optional<AllowanceReport> use,
       Collection<HostRecord> hosts,
       Predicate<String> reachable,
       long nowMillis) {
@@ -91,10 +96,11 @@
       }
     }
     sent.values().removeIf(entry -> nowMillis - entry.sentAtMillis() > 2 * REFRESH_MILLIS);
-    if (due.isEmpty() && countsByEngine.isEmpty()) {
+    if (due.isEmpty() && countsByEngine.isEmpty() && use.isEmpty()) {
       return List.of();
     }
-    OwnerStatuses own = new OwnerStatuses(self.host(), due, List.copyOf(countsByEngine.values()));
+    OwnerStatuses own =
+        new OwnerStatuses(self.host(), due, List.copyOf(countsByEngine.values()), use);
     return distribute(own, hosts, reachable);
   }
 
@@ -154,7 +160,8 @@
                 new OwnerStatuses(
                     host,
                     List.copyOf(latest.statuses.values()),
-                    List.copyOf(latest.counts.values()))));
+                    List.copyOf(latest.counts.values()),
+                    latest.use)));
     collected.clear();
     EngineStatuses message = new EngineStatuses(owners, false);
     return hosts.stream()
--- a/core/src/test/java/org/lentilhinge/permit/StatusRelayTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/StatusRelayTest.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
@@ -57,7 +58,10 @@
   private void publish(String host, EngineStatus status, Predicate<String> reachable, long now) {
     OrderCount count = new OrderCount(status.incarnation(), 3, 100);
     deliver(
-        relays.get(host).publish(List.of(status), List.of(count), others(host), reachable, now));
+        relays
+            .get(host)
+            .publish(
+                List.of(status), List.of(count), Optional.empty(), others(host), reachable, now));
   }
 
   private void publishFromAll(long now) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -150,6 +150,7 @@
     for (OwnerStatuses owner : received.owners()) {
       owner.counts().forEach(this::recordOrderCount);
       if (!owner.host().equals(context.host())) {
+        owner.use().ifPresent(use -> state.quotas().receive(owner.host(), use));
         for (EngineStatus status : owner.statuses()) {
           state.engineSelector().updateStatus(owner.host(), status, now);
           updateStatus(owner.host(), status);
@@ -350,6 +351,8 @@
   /** Sends the status of this host's engines to all hosts. */
   void publishStatuses() {
     if (state.isLeaving()) {
+      // The last requests of this host still count.
+      statuses.publishAll(List.of(), List.of());
       return;
     }
     long now = context.now();
@@ -363,7 +366,7 @@
         runner.orderCount().ifPresent(orderCounts::add);
       }
     }
-    statuses.publish(published, orderCounts);
+    statuses.publishAll(published, orderCounts);
     aheadLoader.load(List.copyOf(runners.values()), now);
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardSettings.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.lentilhinge.allowance.AllowanceBounds;
 
 /**
  * The settings of a host of the forwarding path.
@@ -44,13 +45,40 @@
    * @param retryRatio the number of retries that all hosts together may make for each request
    * @param retryExtra the number of additional retries of all hosts together in each window
    * @param retryWindowMillis the window to which both retry limits apply, in milliseconds
+   * @param quota what customers may use beyond their quotas at most
    */
   public record Bounds(
       long stopMillis,
       long leaseMillis,
       double retryRatio,
       double retryExtra,
-      long retryWindowMillis) {}
+      long retryWindowMillis,
+      AllowanceBounds quota) {
+
+    /**
+     * Creates limits with the default bounds of customer quotas.
+     *
+     * @param stopMillis the time of a planned stop, in milliseconds
+     * @param leaseMillis the time between the orders of two hosts, in milliseconds
+     * @param retryRatio the number of retries for each request
+     * @param retryExtra the number of additional retries in each window
+     * @param retryWindowMillis the window of both retry limits, in milliseconds
+     */
+    public Bounds(
+        long stopMillis,
+        long leaseMillis,
+        double retryRatio,
+        double retryExtra,
+        long retryWindowMillis) {
+      this(
+          stopMillis,
+          leaseMillis,
+          retryRatio,
+          retryExtra,
+          retryWindowMillis,
+          AllowanceBounds.DEFAULT);
+    }
+  }
 
   /**
    * Makes immutable copies of the collections.
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardSettingsReader.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardSettingsReader.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.lentilhinge.allowance.AllowanceBounds;
 import org.lentilhinge.configuration.ConfigurationEntry;
 import org.lentilhinge.configuration.EntryReader;
 import org.lentilhinge.configuration.EntrySection;
@@ -127,6 +128,21 @@
         section.quantity("lease", Unit.DURATION, 100, 600_000, 3_000),
         section.decimal("retry-ratio", 0, 1, 0.1),
         section.decimal("retry-extra", 0, 1_000_000, 10),
-        section.quantity("retry-window", Unit.DURATION, 1_000, 600_000, 10_000));
+        section.quantity("retry-window", Unit.DURATION, 1_000, 600_000, 10_000),
+        quota(section));
+  }
+
+  private static AllowanceBounds quota(EntrySection section) {
+    AllowanceBounds defaults = AllowanceBounds.DEFAULT;
+    // A platform that does not know the field renders its line with the unit alone.
+    boolean stated =
+        section.optionalText("quota-window").filter(text -> !text.equals("s")).isPresent();
+    return new AllowanceBounds(
+        stated
+            ? section.quantity(
+                "quota-window", Unit.DURATION, 1_000, 600_000, defaults.windowMillis())
+            : defaults.windowMillis(),
+        section.decimal("quota-over", 0, 10, defaults.over()),
+        section.decimal("quota-slack", 0, 1_000_000_000, defaults.slack()));
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -360,8 +360,7 @@
 
   private void endRetry() {
     if (!finished) {
-      attempt.ifPresent(EndpointAttempt::cancel);
-      attempt = Optional.empty();
+      cancelAttempt();
       progress.recordOutcome(AttemptOutcome.UNKNOWN);
       fail("endpoint-failed");
     }
@@ -379,11 +378,11 @@
     if (finished) {
       return;
     }
+    progress.recordOutcome(outcome);
     if (outcome == AttemptOutcome.ANSWERED) {
       finish("answered");
       return;
     }
-    progress.recordOutcome(outcome);
     lastEventId.ifPresent(id -> resumeAfter = Optional.of(id));
     if (endedAttempt.target().endsRequest()) {
       endedAttempt
@@ -426,22 +425,25 @@
     if (finished) {
       return;
     }
+    cancelAttempt();
+    if (reason.equals(Forwarder.STOPPING)) {
+      retryDelay.set(Forwarder.STOPPING_RETRY_MILLIS);
+    }
+    fail(reason);
+  }
+
+  private void cancelAttempt() {
     boolean sent = attempt.map(EndpointAttempt::isSent).orElse(false);
     attempt.ifPresent(EndpointAttempt::cancel);
     attempt = Optional.empty();
     if (sent) {
       progress.recordOutcome(AttemptOutcome.UNKNOWN);
     }
-    if (reason.equals(Forwarder.STOPPING)) {
-      retryDelay.set(Forwarder.STOPPING_RETRY_MILLIS);
-    }
-    fail(reason);
   }
 
   private void onCallerDisconnected() {
     if (!finished) {
-      attempt.ifPresent(EndpointAttempt::cancel);
-      attempt = Optional.empty();
+      cancelAttempt();
       finish("caller-gone");
     }
   }
@@ -482,7 +484,7 @@
     finished = true;
     context.vertx().cancelTimer(deadlineTimer);
     keptFailure.end();
-    forwarder.onRequestFinished(this, exchange.isRelayed());
+    forwarder.onRequestFinished(this, exchange.isRelayed(), progress.isCertainlyNotRun());
     permit.release(PermitReturn.Outcome.DONE, 0);
     forwarder.count("ended." + outcome);
     log.write(
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -3,11 +3,11 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.lentilhinge.customer.CallerIdentity;
 import org.lentilhinge.forward.ForwardConfiguration;
 import org.lentilhinge.forward.ForwardRoute;
@@ -41,7 +41,8 @@
   private final HostState state;
   private final Parts parts;
   private final StartupRequestBuffer startupBuffer;
-  private final Set<ForwardedRequest> running = new LinkedHashSet<>();
+  private final Map<ForwardedRequest, Optional<CustomerQuotas.Charge>> running =
+      new LinkedHashMap<>();
 
   /**
    * The parts of the host that forwarding uses.
@@ -190,6 +191,14 @@
       reject(exchange, metadata, 503, Optional.of(STOPPING_RETRY_MILLIS), STOPPING);
       return;
     }
+    // The host that received the request from the caller has charged it.
+    Optional<Optional<CustomerQuotas.Charge>> charge =
+        exchange.isRelayed()
+            ? Optional.of(Optional.empty())
+            : state.quotas().charge(exchange, metadata, identity.get());
+    if (charge.isEmpty()) {
+      return;
+    }
     String service =
         route.get().selectService(RendezvousHash.hash(metadata.requestId().orElse("")));
     if (!exchange.isRelayed()) {
@@ -201,7 +210,7 @@
     ForwardedRequest forwarded =
         new ForwardedRequest(
             this, exchange, metadata, route.get(), service, identity.get(), arrivedAtMillis);
-    running.add(forwarded);
+    running.put(forwarded, charge.get());
     forwarded.start();
   }
 
@@ -223,9 +232,12 @@
     exchange.refuseForNow(RELAY_RETRY_MILLIS, "relayed");
   }
 
-  /** Records the end of a request. */
-  void onRequestFinished(ForwardedRequest request, boolean relayed) {
-    running.remove(request);
+  /** Records the end of a request, which is refunded if it has certainly not run. */
+  void onRequestFinished(ForwardedRequest request, boolean relayed, boolean certainlyNotRun) {
+    Optional<CustomerQuotas.Charge> charge = running.remove(request);
+    if (certainlyNotRun) {
+      charge.ifPresent(state.quotas()::refund);
+    }
     if (relayed) {
       parts.relay().release();
     }
@@ -233,12 +245,12 @@
 
   /** Handles that this host has lost its paths to the endpoints. */
   void onPathLost() {
-    List.copyOf(running).forEach(ForwardedRequest::onPathLost);
+    List.copyOf(running.keySet()).forEach(ForwardedRequest::onPathLost);
   }
 
   /** Refuses the requests that were not sent to an endpoint, as this host stops soon. */
   void refuseUnsent() {
-    for (ForwardedRequest request : List.copyOf(running)) {
+    for (ForwardedRequest request : List.copyOf(running.keySet())) {
       if (request.isUnsent()) {
         request.end(STOPPING);
       }
@@ -247,7 +259,7 @@
 
   /** Ends all requests with a response that states truly whether they may have run. */
   void endAll() {
-    List.copyOf(running).forEach(request -> request.end(STOPPING));
+    List.copyOf(running.keySet()).forEach(request -> request.end(STOPPING));
   }
 
   private void reject(
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -57,6 +57,7 @@
   private final List<SendCondition> sendConditions;
   private final HostOverlay hosts;
   private final ZoneDistances distances;
+  private final CustomerQuotas quotas;
   private final Map<String, RetryBudgetShare> retryBudgetShares = new HashMap<>();
   private final Map<String, Long> adapterVersions = new HashMap<>();
   private Optional<ForwardConfiguration> configuration = Optional.empty();
@@ -73,6 +74,7 @@
   HostState(HostContext context, HostOverlay hosts) {
     this.context = context;
     this.hosts = hosts;
+    quotas = new CustomerQuotas(context, hosts);
     pauses = new EndpointPauses(context.host());
     sendConditions = List.of(this::checkPath, this::checkRegistered, pauses);
     ForwardSettings settings = context.settings();
@@ -144,6 +146,10 @@
     return customers;
   }
 
+  CustomerQuotas quotas() {
+    return quotas;
+  }
+
   ForwardLimits forwardLimits() {
     return configuration.map(ForwardConfiguration::limits).orElse(ForwardLimits.DEFAULT);
   }
@@ -160,6 +166,7 @@
     configuration = Optional.of(next);
     routes = new RouteTable(next.routes());
     customers = new CustomerDirectory(next.customers());
+    quotas.apply(next.customers());
     return true;
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/StatusExchange.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/StatusExchange.java
@@ -1,6 +1,8 @@
 package org.lentilhinge.runtime.forward;
 
 import java.util.List;
+import java.util.Optional;
+import org.lentilhinge.allowance.AllowanceReport;
 import org.lentilhinge.overlay.OverlayCommand;
 import org.lentilhinge.permit.EngineStatus;
 import org.lentilhinge.permit.EngineStatuses;
@@ -25,11 +27,21 @@
 
   /** Records statuses of this host's engines and sends those that other hosts do not know yet. */
   void publish(List<EngineStatus> statuses, List<OrderCount> counts) {
+    publish(statuses, counts, Optional.empty());
+  }
+
+  /** Publishes as at each interval, together with what customers use. */
+  void publishAll(List<EngineStatus> statuses, List<OrderCount> counts) {
+    publish(statuses, counts, state.quotas().report());
+  }
+
+  private void publish(
+      List<EngineStatus> statuses, List<OrderCount> counts, Optional<AllowanceReport> use) {
     long now = context.now();
     statuses.forEach(status -> state.engineSelector().updateStatus(context.host(), status, now));
     send(
         relay.publish(
-            statuses, counts, state.hosts().liveHosts(), state.hosts()::isConnected, now));
+            statuses, counts, use, state.hosts().liveHosts(), state.hosts()::isConnected, now));
   }
 
   /** Sends the status of an engine that this host owns to a host that claims it as well. */
