--- a/core/src/main/java/org/lentilhinge/allowance/AllowanceAccounts.java
+++ b/core/src/main/java/org/lentilhinge/allowance/AllowanceAccounts.java
@@ -235,8 +235,10 @@
       return;
     }
     quotaShare.recordReport(host, report.hosts(), nowMillis);
-    // The debt at this host's start stands for all that was used before.
-    double firstFraction = Math.min(1, (nowMillis - startedAtMillis) / FIRST_SECOND_MILLIS);
+    // The debt at this host's start stands for all that was used before. What a host used that is
+    // only heard now was not part of this host's share, with which the debt grows when it is.
+    double firstFraction =
+        Math.min(1, (nowMillis - startedAtMillis) / FIRST_SECOND_MILLIS) * share();
     for (AllowanceUse use : report.uses()) {
       CustomerAccount account = declared.get(use.customer());
       if (account != null) {
--- a/core/src/main/java/org/lentilhinge/allowance/CustomerAccount.java
+++ b/core/src/main/java/org/lentilhinge/allowance/CustomerAccount.java
@@ -55,10 +55,15 @@
     allowance = next;
   }
 
-  /** Changes the share of the quota that this host uses, and the debt in proportion to it. */
+  /**
+   * Changes the share of the quota that this host uses, and the debt in proportion to it. What is
+   * owed beyond the burst was used in this part of the network only, so that it does not grow when
+   * other parts are heard again.
+   */
   void setShare(double former, double next, long nowMillis) {
     settle(former, nowMillis);
-    debt *= next / former;
+    double inProportion = next < former ? debt : Math.min(debt, allowance.burst() * former);
+    debt += inProportion * (next / former - 1);
   }
 
   private void settle(double share, long nowMillis) {
--- /dev/null
+++ b/core/src/test/java/org/lentilhinge/allowance/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of customer quotas. */
+package org.lentilhinge.allowance;
