--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/FormerBuildMessageTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/FormerBuildMessageTest.java
@@ -5,6 +5,9 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
+import org.lentilhinge.allowance.AllowanceReport;
+import org.lentilhinge.allowance.AllowanceUse;
 import org.lentilhinge.message.PeerMessage;
 import org.lentilhinge.overlay.HostHeartbeat;
 import org.lentilhinge.overlay.HostRecord;
@@ -92,6 +95,25 @@
         List.of(new FormerStatus("e/1", true, List.of("x"), 4, 5, 6)));
   }
 
+  // The use of customers is a component that hosts of the former build do not know.
+  @Test
+  public void useOfCustomersIsIgnoredByFormerBuild() throws MessageFormatException {
+    AllowanceReport use = new AllowanceReport(9, 3, List.of(new AllowanceUse("acme", 7, 2, 5)));
+    OwnerStatuses owner = new OwnerStatuses("h", List.of(), List.of(), Optional.of(use));
+    byte[] bytes = codec.encode(new EngineStatuses(List.of(owner), true));
+    assertEquals(codec.decode(bytes).orElseThrow(), new EngineStatuses(List.of(owner), true));
+    FormerStatuses received = (FormerStatuses) formerCodec.decode(bytes).orElseThrow();
+    assertEquals(received.owners(), List.of(new FormerOwner("h", List.of(), List.of())));
+  }
+
+  @Test
+  public void hostOfFormerBuildStatesNoUse() throws MessageFormatException {
+    FormerOwner owner = new FormerOwner("h", List.of(), List.of());
+    byte[] bytes = formerCodec.encode(new FormerStatuses(List.of(owner), true));
+    EngineStatuses received = (EngineStatuses) codec.decode(bytes).orElseThrow();
+    assertEquals(received.owners().get(0).use(), Optional.empty());
+  }
+
   @Test
   public void queryIsIgnoredByFormerBuild() throws MessageFormatException {
     byte[] bytes = codec.encode(new OwnershipQuery("a", "b", "e/1", 1, 0, 2));
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardSettingsReaderTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardSettingsReaderTest.java
@@ -4,7 +4,11 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import org.lentilhinge.allowance.AllowanceBounds;
 import org.lentilhinge.finding.Findings;
 import org.lentilhinge.runtime.ini.IniReader;
 import org.testng.annotations.Test;
@@ -65,6 +69,26 @@
         new ForwardSettings.Bounds(8_250, 3_000, 0.2, 37.096774193548384, 10_500));
   }
 
+  // A platform that does not know the fields renders them as nothing.
+  @Test
+  public void readsQuotaBoundsAndUsesDefaultsForEmptyOnes() {
+    String stated = VALID + "quota-window = 4.0 s\nquota-over = 0.5\nquota-slack = 17000\n";
+    String empty = VALID + "quota-window =  s\nquota-over = \nquota-slack = \n";
+    assertEquals(
+        reader.read("s.ini", stated).get().bounds().quota(),
+        new AllowanceBounds(4_000, 0.5, 17_000));
+    assertEquals(
+        reader.read("s.ini", empty).get().bounds().quota(), new AllowanceBounds(8_000, 0.25, 0));
+  }
+
+  @Test
+  public void readsTheSample() throws IOException {
+    String sample = Files.readString(Path.of("../conf/forward-settings.ini"));
+    ForwardSettings settings = reader.read("s.ini", sample).get();
+    String uncommented = sample.replaceAll("(?m)^# ([a-z-]+ = )", "$1");
+    assertEquals(reader.read("s.ini", uncommented).get(), settings);
+  }
+
   @Test
   public void reportsAllFindings() {
     String invalid =
