Pace customers over their quota by each host's part of their demand

In a partition into six zones 5 s after a customer began to use six times its usual use, it used 1.30 times its quota in 8 s: each zone admitted all requests until the silence of the others was noticed.

--- a/core/src/main/java/org/lentilhinge/allowance/AllowanceAccounts.java
+++ b/core/src/main/java/org/lentilhinge/allowance/AllowanceAccounts.java
@@ -206,9 +206,10 @@
           AllowanceUse last = reported.get(name);
           boolean changed =
               last == null
-                  ? account.admitted() > 0
-                  : last.admitted() != account.admitted() || last.refunded() != account.refunded();
-          if (changed || full && account.admitted() > 0) {
+                  ? account.requested() > 0
+                  : last.requested() != account.requested()
+                      || last.refunded() != account.refunded();
+          if (changed || full && account.requested() > 0) {
             AllowanceUse use = account.use(name, nowMillis);
             reported.put(name, use);
             uses.add(use);
@@ -242,10 +243,7 @@
     for (AllowanceUse use : report.uses()) {
       CustomerAccount account = declared.get(use.customer());
       if (account != null) {
-        double increase = other.increase(use, firstFraction);
-        if (increase != 0) {
-          account.recordOther(increase, share(), nowMillis);
-        }
+        account.recordOther(other.increase(use, firstFraction), share(), nowMillis);
       }
     }
   }
--- a/core/src/main/java/org/lentilhinge/allowance/CustomerAccount.java
+++ b/core/src/main/java/org/lentilhinge/allowance/CustomerAccount.java
@@ -20,11 +20,20 @@
   private final AllowanceBounds bounds;
   private final UseMeter ownUse = new UseMeter();
   private final UseMeter totalUse = new UseMeter();
+  private final UseMeter ownDemand = new UseMeter();
+  private final UseMeter totalDemand = new UseMeter();
+  private final UseMeter totalRefused = new UseMeter();
   private Allowance allowance;
   private double debt;
   private long debtAtMillis;
+
+  /** The debt of this host alone, which decreases at its part of the rate. */
+  private double ownDebt;
+
+  private long ownDebtAtMillis;
   private long admitted;
   private long refunded;
+  private long requested;
   private long nextReturnMillis = Long.MIN_VALUE;
 
   CustomerAccount(AllowanceBounds bounds, Allowance allowance, double debt, long nowMillis) {
@@ -32,6 +41,7 @@
     this.allowance = allowance;
     this.debt = debt;
     this.debtAtMillis = nowMillis;
+    this.ownDebtAtMillis = nowMillis;
   }
 
   Allowance allowance() {
@@ -46,6 +56,10 @@
     return refunded;
   }
 
+  long requested() {
+    return requested;
+  }
+
   /** Changes the quota. The debt remains, so that a lowered quota applies at once. */
   void setAllowance(Allowance next, double share, long nowMillis) {
     settle(share, nowMillis);
@@ -78,13 +92,58 @@
   /** Admits a request if the quota has room for it. */
   AllowanceDecision admit(long units, double share, int hosts, long nowMillis) {
     settle(share, nowMillis);
-    if (allowance.isUnlimited() || hasRoom(units, share)) {
+    requested += units;
+    ownDemand.add(units, nowMillis);
+    totalDemand.add(units, nowMillis);
+    double ownRate = perMillisecond(share) * pace(hosts, share, nowMillis);
+    settleOwn(units, ownRate, nowMillis);
+    boolean paced = isOver(share, nowMillis) && ownDebt + units > ownBurst(units, ownRate);
+    if (allowance.isUnlimited() || !paced && hasRoom(units, share)) {
+      ownDebt += units;
       admitted += units;
       ownUse.add(units, nowMillis);
       recordUse(units, nowMillis);
       return new AllowanceDecision(true, 0, debt, share);
     }
-    return new AllowanceDecision(false, returnMillis(units, share, hosts, nowMillis), debt, share);
+    totalRefused.add(units, nowMillis);
+    double ownWait = paced ? (ownDebt + units - ownBurst(units, ownRate)) / ownRate : 0;
+    long wait = returnMillis(units, ownWait, ownRate, share, nowMillis);
+    return new AllowanceDecision(false, wait, debt, share);
+  }
+
+  /**
+   * Returns whether the customer requests more than its quota. Each host then admits its part of
+   * the rate at an even pace. Otherwise all hosts would admit and refuse requests at the same
+   * times, and the parts of a network that is being partitioned would admit all requests until they
+   * notice. A customer is over its quota if requests were refused, those of the last seconds exceed
+   * the rate, and half of the burst is used.
+   */
+  private boolean isOver(double share, long nowMillis) {
+    return debt > allowance.burst() * share / 2
+        && totalRefused.sum(UseMeter.MAXIMUM_MILLIS, nowMillis) > 0
+        && totalDemand.sum(UseMeter.MAXIMUM_MILLIS, nowMillis)
+            > perMillisecond(share) * UseMeter.MAXIMUM_MILLIS;
+  }
+
+  /** Returns this host's part of the rate: its part of the demand, and more if burst is unused. */
+  private double pace(int hosts, double share, long nowMillis) {
+    double total = totalDemand.sum(UseMeter.MAXIMUM_MILLIS, nowMillis);
+    double own = ownDemand.sum(UseMeter.MAXIMUM_MILLIS, nowMillis);
+    double part = total == 0 ? 1 : Math.max(1.0 / hosts, Math.min(1, own / total));
+    double burst = allowance.burst() * share;
+    double unused = burst == 0 ? 0 : Math.max(0, 1 - debt / burst);
+    return part * (1 + unused);
+  }
+
+  private void settleOwn(long units, double ownRate, long nowMillis) {
+    double regained = ownRate * Math.max(0, nowMillis - ownDebtAtMillis);
+    ownDebt = Math.max(0, Math.min(ownDebt, ownBurst(units, ownRate)) - regained);
+    ownDebtAtMillis = Math.max(ownDebtAtMillis, nowMillis);
+  }
+
+  /** Returns what a host may admit at once: two requests, so that chance does not leave it idle. */
+  private static double ownBurst(long units, double ownRate) {
+    return Math.max(2 * units, ownRate * 1_000);
   }
 
   /**
@@ -101,17 +160,15 @@
    * Returns after which time a refused caller is to return. Callers that are refused one after the
    * other return one after the other, at the rate of this host's part in the customer's use.
    */
-  private long returnMillis(long units, double share, int hosts, long nowMillis) {
+  private long returnMillis(
+      long units, double ownWait, double ownRate, double share, long nowMillis) {
     double burst = allowance.burst() * share;
     double rate = perMillisecond(share);
-    double missing = units <= burst ? debt + units - burst : debt;
+    double missing = Math.max(0, units <= burst ? debt + units - burst : debt);
     // A request that is too large even if nothing is owed is told the longest time.
-    double due = debt == 0 ? bounds.windowMillis() : missing / rate;
+    double due = debt == 0 ? bounds.windowMillis() : Math.max(ownWait, missing / rate);
     double earliest = Math.max(1, Math.min(due, bounds.windowMillis()));
-    double total = totalUse.sum(UseMeter.MAXIMUM_MILLIS, nowMillis);
-    double own = ownUse.sum(UseMeter.MAXIMUM_MILLIS, nowMillis);
-    double part = total == 0 ? 1 : Math.max(1.0 / hosts, Math.min(1, own / total));
-    double spacing = Math.max(1, Math.min(units / (rate * part), MAXIMUM_SPACING_MILLIS));
+    double spacing = Math.max(1, Math.min(units / ownRate, MAXIMUM_SPACING_MILLIS));
     double wait = Math.max(earliest, nextReturnMillis - nowMillis);
     if (wait > earliest + bounds.windowMillis()) {
       // So many callers have been refused that the next ones share the times of the first ones.
@@ -129,9 +186,11 @@
   }
 
   /** Records the use at another host, which is negative if more was refunded than admitted. */
-  void recordOther(double units, double share, long nowMillis) {
+  void recordOther(HostUse.Increase increase, double share, long nowMillis) {
     settle(share, nowMillis);
-    recordUse(units, nowMillis);
+    recordUse(increase.units(), nowMillis);
+    totalDemand.add(increase.requested(), nowMillis);
+    totalRefused.add(increase.refused(), nowMillis);
   }
 
   private void recordUse(double units, long nowMillis) {
@@ -143,7 +202,7 @@
 
   AllowanceUse use(String customer, long nowMillis) {
     long lastSecond = Math.round(ownUse.sum(1_000, nowMillis));
-    return new AllowanceUse(customer, admitted, refunded, lastSecond);
+    return new AllowanceUse(customer, admitted, refunded, requested, lastSecond);
   }
 
   /** Returns the use over all hosts in the last four seconds. */
--- a/core/src/main/java/org/lentilhinge/allowance/HostUse.java
+++ b/core/src/main/java/org/lentilhinge/allowance/HostUse.java
@@ -17,6 +17,15 @@
   private long formerLife;
   private long heardAtMillis;
 
+  /**
+   * What was counted since the last report.
+   *
+   * @param units the units admitted, without those refunded
+   * @param requested the units of all requests
+   * @param refused the units of the requests that were not admitted
+   */
+  record Increase(double units, double requested, double refused) {}
+
   HostUse(long life, long nowMillis) {
     this.life = life;
     this.formerLife = life;
@@ -40,23 +49,31 @@
   }
 
   /**
-   * Returns the units that were admitted since the last report, without those refunded.
+   * Returns what was counted since the last report.
    *
    * @param use the reported use
    * @param firstFraction the fraction of the units of the last second that counts if no earlier
    *     report is known
    */
-  double increase(AllowanceUse use, double firstFraction) {
+  Increase increase(AllowanceUse use, double firstFraction) {
     AllowanceUse former = counters.get(use.customer());
     if (former == null) {
       counters.put(use.customer(), use);
-      return Math.min(use.admitted() - use.refunded(), use.lastSecond()) * firstFraction;
+      double units = Math.min(use.admitted() - use.refunded(), use.lastSecond()) * firstFraction;
+      return new Increase(units, units, 0);
     }
     // Two relays pass on the same reports, the slower one after a newer report of the other one.
     long admitted = Math.max(former.admitted(), use.admitted());
     long refunded = Math.max(former.refunded(), use.refunded());
-    counters.put(use.customer(), new AllowanceUse(use.customer(), admitted, refunded, 0));
-    return admitted - former.admitted() - (refunded - former.refunded());
+    long requested = Math.max(former.requested(), use.requested());
+    counters.put(
+        use.customer(), new AllowanceUse(use.customer(), admitted, refunded, requested, 0));
+    long admittedSince = admitted - former.admitted();
+    long requestedSince = requested - former.requested();
+    return new Increase(
+        admittedSince - (refunded - former.refunded()),
+        requestedSince,
+        Math.max(0, requestedSince - admittedSince));
   }
 
   long heardAtMillis() {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/CustomerQuotaTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/CustomerQuotaTest.java
@@ -219,7 +219,7 @@
         host.sent.stream()
             .map(message -> ((EngineStatuses) message).owners().get(0).use().orElseThrow())
             .toList();
-    assertEquals(reports.get(0).uses(), List.of(new AllowanceUse("acme", 5, 0, 5)));
+    assertEquals(reports.get(0).uses(), List.of(new AllowanceUse("acme", 5, 0, 5, 5)));
     // To two relays of the zone at most, at least every 400 ms.
     assertTrue(reports.size() >= 10, "reports: " + reports.size());
   }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/FormerBuildMessageTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/FormerBuildMessageTest.java
@@ -98,7 +98,7 @@
   // The use of customers is a component that hosts of the former build do not know.
   @Test
   public void useOfCustomersIsIgnoredByFormerBuild() throws MessageFormatException {
-    AllowanceReport use = new AllowanceReport(9, 3, List.of(new AllowanceUse("acme", 7, 2, 5)));
+    AllowanceReport use = new AllowanceReport(9, 3, List.of(new AllowanceUse("acme", 7, 2, 9, 5)));
     OwnerStatuses owner = new OwnerStatuses("h", List.of(), List.of(), Optional.of(use));
     byte[] bytes = codec.encode(new EngineStatuses(List.of(owner), true));
     assertEquals(codec.decode(bytes).orElseThrow(), new EngineStatuses(List.of(owner), true));
