--- a/core/src/test/java/org/lentilhinge/allowance/AllowanceSimulation.java
+++ b/core/src/test/java/org/lentilhinge/allowance/AllowanceSimulation.java
@@ -34,11 +34,13 @@
   private final Random random;
   private final AllowanceAccounts[] hosts = new AllowanceAccounts[HOSTS];
   private final int[] lives = new int[HOSTS];
+  private final String[] names = new String[HOSTS];
   private final Map<String, Double> requestsPerSecond = new HashMap<>();
   private final List<Arrival> arrivals = new ArrayList<>();
   private List<Customer> customers = new ArrayList<>();
   private BiPredicate<Integer, Integer> connected = (from, to) -> true;
   private double lossRate;
+  private int knownHosts = HOSTS;
 
   /** A request and whether it ran. */
   record Arrival(long atMillis, int host, String customer, boolean admitted, long retryMillis) {}
@@ -76,9 +78,17 @@
     return zone(host) / 3;
   }
 
+  /** Replaces a host by a new one; the former one is known as lost. */
+  void join(int host) {
+    knownHosts++;
+    start(host);
+    names[host] = "joined-" + host;
+  }
+
   /** Starts or restarts a host, which knows the configuration but no other host. */
   void start(int host) {
     lives[host]++;
+    names[host] = String.valueOf(host);
     hosts[host] =
         new AllowanceAccounts(AllowanceBounds.DEFAULT, host * 1_000L + lives[host], true, now());
     hosts[host].apply(customers, now());
@@ -115,8 +125,8 @@
 
   private void publish(int host) {
     schedule(INTERVAL_MILLIS, () -> publish(host));
-    hosts[host].setHosts(HOSTS, now());
-    Optional<AllowanceReport> report = hosts[host].report(HOSTS, now());
+    hosts[host].setHosts(knownHosts, now());
+    Optional<AllowanceReport> report = hosts[host].report(knownHosts, now());
     if (report.isEmpty()) {
       return;
     }
@@ -131,7 +141,7 @@
   }
 
   private void deliver(int sender, int firstReceiver, AllowanceReport report) {
-    String name = String.valueOf(sender);
+    String name = names[sender];
     for (int receiver = firstReceiver; receiver < HOSTS; receiver += ZONES) {
       if (receiver != sender && connected.test(sender, receiver)) {
         hosts[receiver].receive(name, report, now());
--- a/core/src/test/java/org/lentilhinge/allowance/AllowanceSimulationTest.java
+++ b/core/src/test/java/org/lentilhinge/allowance/AllowanceSimulationTest.java
@@ -125,6 +125,22 @@
     assertTrue(refused <= withinQuota / 20, refused + " refused of " + withinQuota);
   }
 
+  // A new host serves its callers, and those that it replaces leave no lasting gap.
+  @Test
+  public void joinedHostsKeepTheBound() {
+    AllowanceSimulation simulation = settled(12);
+    simulation.multiplyDemand(AllowanceSimulation.LARGE, 6);
+    simulation.runUntil(10_000);
+    for (int host = 0; host < 7; host++) {
+      simulation.join(host);
+    }
+    simulation.runUntil(20_000);
+    assertBound(simulation);
+    long earlier = refusedWithinQuota(simulation, AllowanceSimulation.LARGE, 13_000);
+    assertTrue(earlier <= 30, "refused by hosts that have just started: " + earlier);
+    assertEquals(refusedWithinQuota(simulation, AllowanceSimulation.LARGE, 20_000), earlier);
+  }
+
   // All hosts start at the same time, as after an outage, and the burst is not available at once.
   @Test
   public void hostsThatStartTogetherHaveSavedUpNothing() {
