--- a/core/src/main/java/org/lentilhinge/allowance/AllowanceAccounts.java
+++ b/core/src/main/java/org/lentilhinge/allowance/AllowanceAccounts.java
@@ -203,13 +203,7 @@
     List<AllowanceUse> uses = new ArrayList<>();
     declared.forEach(
         (name, account) -> {
-          AllowanceUse last = reported.get(name);
-          boolean changed =
-              last == null
-                  ? account.requested() > 0
-                  : last.requested() != account.requested()
-                      || last.refunded() != account.refunded();
-          if (changed || full && account.requested() > 0) {
+          if (account.hasChangedSince(reported.get(name)) || full && account.isUsed()) {
             AllowanceUse use = account.use(name, nowMillis);
             reported.put(name, use);
             uses.add(use);
--- a/core/src/main/java/org/lentilhinge/allowance/AllowanceUse.java
+++ b/core/src/main/java/org/lentilhinge/allowance/AllowanceUse.java
@@ -7,7 +7,8 @@
  * @param customer the name of the customer
  * @param admitted the units of the requests admitted since the start of the host
  * @param refunded the units of those that were refused afterwards without having run
- * @param requested the units of all requests since the start of the host, admitted or not
+ * @param requested the units of all requests since the start of the host, admitted or not, where a
+ *     request counts its customer's burst at most
  * @param lastSecond the units that were admitted and not refunded in the last second
  */
 public record AllowanceUse(
--- a/core/src/main/java/org/lentilhinge/allowance/CustomerAccount.java
+++ b/core/src/main/java/org/lentilhinge/allowance/CustomerAccount.java
@@ -48,16 +48,18 @@
     return allowance;
   }
 
-  long admitted() {
-    return admitted;
+  /** Returns whether any request has arrived at this host. */
+  boolean isUsed() {
+    return admitted > 0 || requested > 0;
   }
 
-  long refunded() {
-    return refunded;
-  }
-
-  long requested() {
-    return requested;
+  /** Returns whether the counters of this host differ from those reported last, if any. */
+  boolean hasChangedSince(AllowanceUse reported) {
+    return reported == null
+        ? isUsed()
+        : admitted != reported.admitted()
+            || refunded != reported.refunded()
+            || requested != reported.requested();
   }
 
   /** Changes the quota. The debt remains, so that a lowered quota applies at once. */
@@ -92,9 +94,11 @@
   /** Admits a request if the quota has room for it. */
   AllowanceDecision admit(long units, double share, int hosts, long nowMillis) {
     settle(share, nowMillis);
-    requested += units;
-    ownDemand.add(units, nowMillis);
-    totalDemand.add(units, nowMillis);
+    // A request beyond the burst would distort the parts of the hosts in the demand.
+    long demand = Math.min(units, (long) Math.ceil(allowance.burst()));
+    requested += demand;
+    ownDemand.add(demand, nowMillis);
+    totalDemand.add(demand, nowMillis);
     double ownRate = perMillisecond(share) * pace(hosts, share, nowMillis);
     settleOwn(units, ownRate, nowMillis);
     boolean paced = isOver(share, nowMillis) && ownDebt + units > ownBurst(units, ownRate);
@@ -105,7 +109,7 @@
       recordUse(units, nowMillis);
       return new AllowanceDecision(true, 0, debt, share);
     }
-    totalRefused.add(units, nowMillis);
+    totalRefused.add(demand, nowMillis);
     double ownWait = paced ? (ownDebt + units - ownBurst(units, ownRate)) / ownRate : 0;
     long wait = returnMillis(units, ownWait, ownRate, share, nowMillis);
     return new AllowanceDecision(false, wait, debt, share);
@@ -158,7 +162,7 @@
 
   /**
    * Returns after which time a refused caller is to return. Callers that are refused one after the
-   * other return one after the other, at the rate of this host's part in the customer's use.
+   * other return one after the other, at this host's part of the rate.
    */
   private long returnMillis(
       long units, double ownWait, double ownRate, double share, long nowMillis) {
@@ -181,6 +185,7 @@
   void refund(long units, double share, long nowMillis) {
     settle(share, nowMillis);
     refunded += units;
+    ownDebt = Math.max(0, ownDebt - units);
     ownUse.add(-units, nowMillis);
     recordUse(-units, nowMillis);
   }
--- a/core/src/test/java/org/lentilhinge/allowance/AllowanceAccountsTest.java
+++ b/core/src/test/java/org/lentilhinge/allowance/AllowanceAccountsTest.java
@@ -104,6 +104,21 @@
     assertEquals(restarted.addedTo(earlier), restarted);
   }
 
+  // The order of requests under shortage compares customers without a limit as well.
+  @Test
+  public void useWithoutLimitIsReportedAndCompared() {
+    Customer unlimited = new Customer("free", List.of(), Optional.empty(), Allowance.UNLIMITED);
+    AllowanceAccounts accounts = new AllowanceAccounts(AllowanceBounds.DEFAULT, 1, false, 0);
+    accounts.apply(List.of(unlimited, customer(100, 200).get(0)), 0);
+    assertTrue(accounts.admit("free", 300, LATER).admitted());
+    assertTrue(accounts.admit("acme", 100, LATER).admitted());
+    List<AllowanceUse> uses = accounts.report(1, LATER).orElseThrow().uses();
+    assertEquals(uses.get(0), new AllowanceUse("free", 300, 0, 0, 300));
+    assertEquals(uses.size(), 2);
+    assertEquals(accounts.relativeUse("free", LATER), 1.5, 1e-9);
+    assertEquals(accounts.relativeUse("acme", LATER), 1, 1e-9);
+  }
+
   // A host that had not heard from others used the whole quota in addition to theirs.
   @Test
   public void shareFollowsTheHostsThatAreHeard() {
