--- a/core/src/main/java/org/lentilhinge/forward/EndpointScores.java
+++ b/core/src/main/java/org/lentilhinge/forward/EndpointScores.java
@@ -54,28 +54,24 @@
    *
    * @param endpoints the endpoints that may be used
    * @param excluded the incarnations that have been tried
-   * @param distances the cost of the distance to each zone, in milliseconds
+   * @param zones the costs of the zones, and those that the request may be sent to
    * @param nowMillis the current time, in milliseconds
    * @return the endpoint with the lowest cost, or empty if all are excluded
    */
   public Optional<FleetEndpoint> select(
-      Collection<FleetEndpoint> endpoints,
-      Set<String> excluded,
-      ZoneDistances distances,
-      long nowMillis) {
-    return endpoints.stream()
+      Collection<FleetEndpoint> endpoints, Set<String> excluded, ZoneCosts zones, long nowMillis) {
+    return zones.permitted(endpoints, excluded, endpoint -> true).stream()
         .filter(endpoint -> !excluded.contains(endpoint.incarnation()))
         .min(
             (first, second) ->
                 Double.compare(
-                    costMillis(first, distances, nowMillis),
-                    costMillis(second, distances, nowMillis)));
+                    costMillis(first, zones, nowMillis), costMillis(second, zones, nowMillis)));
   }
 
-  private double costMillis(FleetEndpoint endpoint, ZoneDistances distances, long nowMillis) {
+  private double costMillis(FleetEndpoint endpoint, ZoneCosts zones, long nowMillis) {
     Score score = scores.get(endpoint.incarnation());
     double scoreMillis = score == null ? INITIAL_RESPONSE_MILLIS : score.costMillis(nowMillis);
-    return scoreMillis + distances.costMillis(endpoint.zone());
+    return scoreMillis + zones.costMillis(endpoint.zone());
   }
 
   /**
--- a/core/src/main/java/org/lentilhinge/forward/ZoneDistances.java
+++ b/core/src/main/java/org/lentilhinge/forward/ZoneDistances.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 
 /** The cost of the distance from this host to each zone, from latency and the price of traffic. */
-public final class ZoneDistances {
+public final class ZoneDistances implements ZoneCosts {
 
   /**
    * The cost of another zone of the same region, in milliseconds. Traffic between zones is charged,
@@ -31,12 +31,7 @@
     this.regions = Map.copyOf(regions);
   }
 
-  /**
-   * Returns the cost of the distance to a zone.
-   *
-   * @param targetZone the zone
-   * @return the cost, as a time in milliseconds
-   */
+  @Override
   public double costMillis(String targetZone) {
     if (targetZone.equals(zone)) {
       return 0;
--- a/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
@@ -12,7 +12,7 @@
 import org.lentilhinge.demand.FleetDemand;
 import org.lentilhinge.demand.PreferredEngines;
 import org.lentilhinge.fleet.FleetEndpoint;
-import org.lentilhinge.forward.ZoneDistances;
+import org.lentilhinge.forward.ZoneCosts;
 
 /**
  * Selects the engine that is expected to send the first event of a request soonest, by the statuses
@@ -184,6 +184,20 @@
         .isPresent();
   }
 
+  /**
+   * Returns the latest status of an engine.
+   *
+   * @param incarnation the engine's incarnation
+   * @param maximumAgeMillis the age above which a status is ignored, in milliseconds
+   * @param nowMillis the current time, in milliseconds
+   * @return the status, or empty if there is none or it is too old
+   */
+  public Optional<EngineStatus> status(String incarnation, long maximumAgeMillis, long nowMillis) {
+    return Optional.ofNullable(statuses.get(incarnation))
+        .filter(entry -> nowMillis - entry.receivedAtMillis() <= maximumAgeMillis)
+        .map(ReceivedStatus::status);
+  }
+
   private Optional<ReceivedStatus> currentStatus(String incarnation, long nowMillis) {
     return Optional.ofNullable(statuses.get(incarnation))
         .filter(entry -> nowMillis - entry.receivedAtMillis() <= MAXIMUM_STATUS_AGE_MILLIS);
@@ -195,7 +209,7 @@
    * @param engines the engines that may be used
    * @param excluded the incarnations that refused the request
    * @param adapter the adapter's name, or an empty string for the base model
-   * @param distances the cost of the distance to each zone, in milliseconds
+   * @param zones the costs of the zones, and those that the request may be sent to
    * @param failureCost the cost of the recent failures of an engine, in milliseconds
    * @param choice a number that differs from request to request
    * @param nowMillis the current time, in milliseconds
@@ -205,7 +219,7 @@
       Collection<FleetEndpoint> engines,
       Set<String> excluded,
       String adapter,
-      ZoneDistances distances,
+      ZoneCosts zones,
       ToDoubleFunction<FleetEndpoint> failureCost,
       long choice,
       long nowMillis) {
@@ -215,11 +229,12 @@
     List<FleetEndpoint> candidates = new ArrayList<>();
     double[] costs = new double[engines.size()];
     double lowest = Double.POSITIVE_INFINITY;
-    for (FleetEndpoint engine : engines) {
+    for (FleetEndpoint engine :
+        zones.permitted(engines, excluded, engine -> isLoaded(engine, adapter, nowMillis))) {
       if (!excluded.contains(engine.incarnation())) {
         double cost =
             failureCost.applyAsDouble(engine)
-                + costMillis(engine, adapter, preferred, distances, nowMillis);
+                + costMillis(engine, adapter, preferred, zones, nowMillis);
         costs[candidates.size()] = cost;
         candidates.add(engine);
         lowest = Math.min(lowest, cost);
@@ -250,20 +265,26 @@
     };
   }
 
+  private boolean isLoaded(FleetEndpoint engine, String adapter, long nowMillis) {
+    UnreportedRequests pending = unreported.get(engine.incarnation());
+    return adapter.isEmpty()
+        || (pending != null && pending.adapters.contains(adapter))
+        || status(engine.incarnation(), MAXIMUM_STATUS_AGE_MILLIS, nowMillis)
+            .filter(current -> current.adapters().contains(adapter))
+            .isPresent();
+  }
+
   private double costMillis(
       FleetEndpoint engine,
       String adapter,
       List<String> preferred,
-      ZoneDistances distances,
+      ZoneCosts zones,
       long nowMillis) {
-    double cost = distances.costMillis(engine.zone());
+    double cost = zones.costMillis(engine.zone());
     Optional<EngineStatus> status =
         currentStatus(engine.incarnation(), nowMillis).map(ReceivedStatus::status);
     UnreportedRequests pending = unreported.get(engine.incarnation());
-    boolean loaded =
-        adapter.isEmpty()
-            || (pending != null && pending.adapters.contains(adapter))
-            || status.filter(current -> current.adapters().contains(adapter)).isPresent();
+    boolean loaded = isLoaded(engine, adapter, nowMillis);
     cost += pending == null ? 0 : pending.prefillMillis;
     if (!loaded) {
       cost += loadCostMillis(preferred.indexOf(engine.incarnation()), preferred.size());
