--- a/core/src/main/java/org/lentilhinge/zone/EngineRoom.java
+++ b/core/src/main/java/org/lentilhinge/zone/EngineRoom.java
@@ -41,7 +41,7 @@
    * twice the delay with which an effect shows in the statuses; a shorter time lets the shares
    * oscillate.
    */
-  private static final double DRAIN_MILLIS = 700;
+  private static final double DRAIN_MILLIS = 400;
 
   /** One slow or blocked engine does not make its whole zone short. */
   private static final double MAXIMUM_OVERLOAD = 1;
--- a/core/src/main/java/org/lentilhinge/zone/RequestZones.java
+++ b/core/src/main/java/org/lentilhinge/zone/RequestZones.java
@@ -15,6 +15,7 @@
   private final long requestHash;
   private final Predicate<String> open;
   private boolean readyHere;
+  private boolean refusedHere;
 
   /** Why a request is sent to a zone. */
   public enum Reason {
@@ -53,12 +54,12 @@
   public Collection<FleetEndpoint> permitted(
       Collection<FleetEndpoint> endpoints, Set<String> excluded, Predicate<FleetEndpoint> ready) {
     readyHere = false;
+    refusedHere = false;
     for (FleetEndpoint endpoint : endpoints) {
-      if (endpoint.zone().equals(plan.zone())
-          && !excluded.contains(endpoint.incarnation())
-          && ready.test(endpoint)) {
-        readyHere = true;
-        break;
+      if (endpoint.zone().equals(plan.zone()) && ready.test(endpoint)) {
+        boolean isExcluded = excluded.contains(endpoint.incarnation());
+        readyHere |= !isExcluded;
+        refusedHere |= isExcluded;
       }
     }
     List<FleetEndpoint> permitted =
@@ -69,8 +70,12 @@
   }
 
   private boolean isPermitted(String zone) {
-    return zone.equals(plan.zone())
-        || ((!readyHere || plan.mayLeave(zone, requestHash)) && open.test(zone));
+    if (zone.equals(plan.zone())) {
+      return true;
+    }
+    boolean leaves =
+        !readyHere || plan.mayLeave(zone, requestHash) || (refusedHere && plan.hasRoom(zone));
+    return leaves && open.test(zone);
   }
 
   /**
--- a/core/src/main/java/org/lentilhinge/zone/ZoneCapacity.java
+++ b/core/src/main/java/org/lentilhinge/zone/ZoneCapacity.java
@@ -9,14 +9,20 @@
    */
   private static final double SMOOTHING_MILLIS = 250;
 
-  /** The free part of the engines below which a zone may become short. */
-  private static final double SHORT_BELOW = 0.1;
+  /**
+   * The excess of waiting work over free capacity above which a zone becomes short, as a part of
+   * its engines' time.
+   */
+  private static final double SHORT_ABOVE = 0.05;
 
-  /** The free part of the engines above which a zone is no longer short. */
-  private static final double ENOUGH_ABOVE = 0.2;
+  /**
+   * The excess of free capacity over waiting work above which a zone is no longer short, as a part
+   * of its engines' time.
+   */
+  private static final double ENOUGH_ABOVE = 0.05;
 
-  /** The part of the engines' time below which an overload is not acted upon. */
-  private static final double NEGLIGIBLE_OVERLOAD = 0.02;
+  /** The free part of its engines' time below which a zone offers nothing to others. */
+  private static final double OFFERED_ABOVE = 0.1;
 
   /**
    * The part of the spare capacity that other zones may use. The rest is left for the growth of the
@@ -24,11 +30,21 @@
    */
   private static final double OFFERED_PART = 0.8;
 
+  /**
+   * The part of the work that leaves which is carried on without a further wait. Without it a zone
+   * with half as much demand again as capacity would let its requests wait for 400 ms.
+   */
+  private static final double CARRIED_PART = 0.7;
+
+  /** The time constant with which the carried part follows, in milliseconds. */
+  private static final double CARRY_MILLIS = 1_500;
+
   private boolean known;
   private int engines;
   private double spare;
   private double overload;
   private boolean shortage;
+  private double carried;
 
   private int allEngines;
   private int knownEngines;
@@ -61,17 +77,16 @@
     engines = servingEngines;
     if (!known) {
       shortage = false;
+      carried = 0;
       return;
     }
     double weight = formerlyKnown ? 1 - Math.exp(-elapsedMillis / SMOOTHING_MILLIS) : 1;
     spare += weight * (spareSum - spare);
     overload += weight * (overloadSum - overload);
-    if (shortage) {
-      shortage = spare <= ENOUGH_ABOVE * engines && overload > NEGLIGIBLE_OVERLOAD * engines;
-    } else {
-      shortage =
-          spare < SHORT_BELOW * engines && overload - spare > 2 * NEGLIGIBLE_OVERLOAD * engines;
-    }
+    double excess = overload - spare;
+    shortage = shortage ? excess >= -ENOUGH_ABOVE * engines : excess > SHORT_ABOVE * engines;
+    double carryWeight = 1 - Math.exp(-elapsedMillis / CARRY_MILLIS);
+    carried = shortage ? carried + carryWeight * (CARRIED_PART * need() - carried) : 0;
   }
 
   boolean isKnown() {
@@ -85,13 +100,13 @@
 
   /** Returns the work per time that should be done elsewhere, in engines. */
   double need() {
-    return known && shortage ? Math.max(0, overload - spare) : 0;
+    return known && shortage ? Math.max(0, overload - spare + carried) : 0;
   }
 
   /** Returns the capacity that other zones may use, in engines. */
   double offered() {
-    boolean offers = known && !shortage && spare >= SHORT_BELOW * engines && overload < spare;
-    return offers ? OFFERED_PART * spare : 0;
+    boolean offers = known && !shortage && spare - overload > OFFERED_ABOVE * engines;
+    return offers ? OFFERED_PART * (spare - overload) : 0;
   }
 
   /** Returns the work per time that arrives, in engines. */
--- a/core/src/main/java/org/lentilhinge/zone/ZoneTrafficPlan.java
+++ b/core/src/main/java/org/lentilhinge/zone/ZoneTrafficPlan.java
@@ -27,8 +27,10 @@
    * @param share the part of the requests
    * @param roomHere the spare capacity of the own zone, in engines
    * @param roomThere the spare capacity of the other zone, in engines
+   * @param offers whether other zones may use that capacity
    */
-  public record Share(String zone, double share, double roomHere, double roomThere) {}
+  public record Share(
+      String zone, double share, double roomHere, double roomThere, boolean offers) {}
 
   /**
    * Creates a plan.
@@ -89,6 +91,23 @@
     return false;
   }
 
+  /**
+   * Returns whether a zone offers capacity. A request that an engine of its own zone has refused
+   * may be sent there although it is not in the share: few requests are refused before a share
+   * takes effect, and they are those that would otherwise not be served.
+   *
+   * @param targetZone the zone
+   * @return whether the zone has spare capacity
+   */
+  public boolean hasRoom(String targetZone) {
+    for (Share share : shares) {
+      if (share.zone().equals(targetZone)) {
+        return share.offers();
+      }
+    }
+    return false;
+  }
+
   /**
    * Returns the zone that requests leave.
    *
--- a/core/src/main/java/org/lentilhinge/zone/ZoneTrafficPlanner.java
+++ b/core/src/main/java/org/lentilhinge/zone/ZoneTrafficPlanner.java
@@ -144,7 +144,9 @@
           if (!target.equals(zone)) {
             double flow = flows.getOrDefault(target, 0.0);
             double share = flow == 0 ? 0 : Math.min(1, flow / own.demand());
-            shares.add(new ZoneTrafficPlan.Share(target, share, own.spare(), capacity.spare()));
+            shares.add(
+                new ZoneTrafficPlan.Share(
+                    target, share, own.spare(), capacity.spare(), capacity.offered() > 0));
           }
         });
     return new ZoneTrafficPlan(zone, true, shares, prices);
--- a/core/src/main/java/org/lentilhinge/zone/ZoneTrafficSettings.java
+++ b/core/src/main/java/org/lentilhinge/zone/ZoneTrafficSettings.java
@@ -19,4 +19,8 @@
    * configurations, and for responses that are larger than estimated.
    */
   public static final double DEFAULT_BANDWIDTH_SHARE = 0.5;
+
+  /** The terms of traffic without a price and without a known bandwidth. */
+  public static final ZoneTrafficSettings FREE_UNBOUNDED =
+      new ZoneTrafficSettings(0, 0, 0, DEFAULT_BANDWIDTH_SHARE);
 }
--- /dev/null
+++ b/core/src/test/java/org/lentilhinge/zone/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the package. */
+package org.lentilhinge.zone;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
@@ -9,6 +9,7 @@
 import org.lentilhinge.dispatch.SendObstacle;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.ForwardService;
+import org.lentilhinge.forward.ZoneCosts;
 import org.lentilhinge.lease.RendezvousHash;
 import org.lentilhinge.permit.PermitAnswer;
 
@@ -22,6 +23,7 @@
   private final HostContext context;
   private final String service;
   private final String adapter;
+  private final RequestMetadata request;
   private final long choiceHash;
   private final Set<String> excluded = new HashSet<>();
   private final SendCheck sendCheck;
@@ -37,6 +39,7 @@
     this.state = state;
     this.context = context;
     this.service = service;
+    this.request = request;
     adapter = request.generation().map(RequestMetadata.Generation::adapter).orElse("");
     choiceHash = RendezvousHash.hash(request.requestId().orElse(""));
     this.sendCheck = new SendCheck(state, context);
@@ -49,31 +52,39 @@
 
   /** Returns the best endpoint that is left; empty if the request must be refused. */
   Optional<FleetEndpoint> next() {
+    ZoneTraffic.Choice traffic =
+        state.zoneTraffic().choice(service, isEngineService(), request, choiceHash);
+    Optional<FleetEndpoint> next = next(traffic.zones());
+    next.ifPresent(traffic::record);
+    return next;
+  }
+
+  private Optional<FleetEndpoint> next(ZoneCosts zones) {
     if (!isEngineService()) {
-      return nextPlain();
+      return nextPlain(zones);
     }
-    return isOutOfPermitRequests() ? Optional.empty() : nextEngine();
+    return isOutOfPermitRequests() ? Optional.empty() : nextEngine(zones);
   }
 
-  private Optional<FleetEndpoint> nextEngine() {
+  private Optional<FleetEndpoint> nextEngine(ZoneCosts zones) {
     return state
         .engineSelector()
         .select(
             usable(),
             unavailable(),
             adapter,
-            state.distances(),
+            zones,
             engine -> state.scores().failureCostMillis(engine.incarnation(), context.now()),
             choiceHash,
             context.now());
   }
 
-  private Optional<FleetEndpoint> nextPlain() {
+  private Optional<FleetEndpoint> nextPlain(ZoneCosts zones) {
     Set<String> unavailable = unavailable();
     if (isOutOfPermitRequests()) {
       limitedEndpoints().forEach(endpoint -> unavailable.add(endpoint.incarnation()));
     }
-    return state.scores().select(usable(), unavailable, state.distances(), context.now());
+    return state.scores().select(usable(), unavailable, zones, context.now());
   }
 
   /** Returns the excluded endpoints and those that are paused or at their limit for now. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardSettings.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardSettings.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.lentilhinge.zone.ZoneTrafficSettings;
 
 /**
  * The settings of a host of the forwarding path.
@@ -19,6 +21,7 @@
  * @param storeAddress the IP address and port of the published store
  * @param metricsPort the port on the host's address at which metrics are exposed, or 0 for none
  * @param bounds the limits that the operators guarantee to callers and endpoints
+ * @param zoneTraffic the terms for traffic between zones, if it is to be planned
  */
 public record ForwardSettings(
     String host,
@@ -33,7 +36,8 @@
     List<String> seeds,
     String storeAddress,
     int metricsPort,
-    Bounds bounds) {
+    Bounds bounds,
+    Optional<ZoneTrafficSettings> zoneTraffic) {
 
   /**
    * Limits on time and retries.
@@ -68,9 +72,34 @@
    * @param storeAddress the address of the store
    * @param metricsPort the port of the metrics
    * @param bounds the limits
+   * @param zoneTraffic the terms for traffic between zones
    */
   public ForwardSettings {
     zoneRegions = Map.copyOf(zoneRegions);
     seeds = List.copyOf(seeds);
   }
+
+  /**
+   * Returns these settings with terms for traffic between zones.
+   *
+   * @param terms the terms
+   * @return the settings
+   */
+  public ForwardSettings withZoneTraffic(ZoneTrafficSettings terms) {
+    return new ForwardSettings(
+        host,
+        zone,
+        region,
+        zoneRegions,
+        callerAddress,
+        readyAddress,
+        readyPath,
+        peerAddress,
+        peerSecret,
+        seeds,
+        storeAddress,
+        metricsPort,
+        bounds,
+        Optional.of(terms));
+  }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardSettingsReader.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardSettingsReader.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.lentilhinge.configuration.ConfigurationEntry;
 import org.lentilhinge.configuration.EntryReader;
 import org.lentilhinge.configuration.EntrySection;
@@ -14,6 +15,7 @@
 import org.lentilhinge.finding.FindingCollector;
 import org.lentilhinge.finding.Findings;
 import org.lentilhinge.finding.Place;
+import org.lentilhinge.zone.ZoneTrafficSettings;
 
 /** Reads the settings of a host of the forwarding path, and reports all findings in one pass. */
 public final class ForwardSettingsReader {
@@ -22,7 +24,19 @@
   public static final String FORWARDING_SECTION = "[callers]";
 
   private static final List<String> SECTIONS =
-      List.of("host", "zones", "callers", "ready", "peer", "store", "metrics", "bounds");
+      List.of(
+          "host",
+          "zones",
+          "callers",
+          "ready",
+          "peer",
+          "store",
+          "metrics",
+          "bounds",
+          "zone-traffic");
+
+  private static final List<String> ZONE_TRAFFIC_KEYS =
+      List.of("zone-price", "region-price", "region-bandwidth", "region-bandwidth-share");
 
   private static final int HIGHEST_PORT = 65_535;
 
@@ -99,7 +113,8 @@
         seeds(peer),
         sections.get("store").address("address"),
         (int) sections.get("metrics").number("port", 0, HIGHEST_PORT, 0),
-        bounds(sections.get("bounds")));
+        bounds(sections.get("bounds")),
+        zoneTraffic(sections.get("zone-traffic")));
   }
 
   private static Map<String, String> zones(EntrySection section) {
@@ -129,4 +144,17 @@
         section.decimal("retry-extra", 0, 1_000_000, 10),
         section.quantity("retry-window", Unit.DURATION, 1_000, 600_000, 10_000));
   }
+
+  private static Optional<ZoneTrafficSettings> zoneTraffic(EntrySection section) {
+    ZoneTrafficSettings settings =
+        new ZoneTrafficSettings(
+            section.decimal("zone-price", 0, 1_000_000, 0),
+            section.decimal("region-price", 0, 1_000_000, 0),
+            section.decimal("region-bandwidth", 0, 1_000_000, 0),
+            section.decimal(
+                "region-bandwidth-share", 0, 1, ZoneTrafficSettings.DEFAULT_BANDWIDTH_SHARE));
+    boolean stated =
+        ZONE_TRAFFIC_KEYS.stream().anyMatch(key -> section.optionalText(key).isPresent());
+    return stated ? Optional.of(settings) : Optional.empty();
+  }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -57,6 +57,7 @@
   private final List<SendCondition> sendConditions;
   private final HostOverlay hosts;
   private final ZoneDistances distances;
+  private final ZoneTraffic zoneTraffic;
   private final Map<String, RetryBudgetShare> retryBudgetShares = new HashMap<>();
   private final Map<String, Long> adapterVersions = new HashMap<>();
   private Optional<ForwardConfiguration> configuration = Optional.empty();
@@ -77,6 +78,7 @@
     sendConditions = List.of(this::checkPath, this::checkRegistered, pauses);
     ForwardSettings settings = context.settings();
     distances = new ZoneDistances(settings.zone(), settings.region(), settings.zoneRegions());
+    zoneTraffic = new ZoneTraffic(context, endpoints, engineSelector, hosts, distances);
   }
 
   EndpointRegistry endpoints() {
@@ -127,6 +129,10 @@
     return distances;
   }
 
+  ZoneTraffic zoneTraffic() {
+    return zoneTraffic;
+  }
+
   Optional<ForwardConfiguration> configuration() {
     return configuration;
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/PathRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/PathRunner.java
@@ -97,9 +97,13 @@
   /** Records that a connection is being opened, and whether it could be. */
   private Future<EndpointConnection> observe(
       FleetEndpoint endpoint, Future<EndpointConnection> connecting) {
-    monitor.recordConnecting(endpoint.incarnation(), context.now());
+    long startedAtMillis = context.now();
+    monitor.recordConnecting(endpoint.incarnation(), startedAtMillis);
     return connecting.onComplete(
-        result -> monitor.recordConnect(endpoint.incarnation(), result.succeeded(), context.now()));
+        result -> {
+          monitor.recordConnect(endpoint.incarnation(), result.succeeded(), context.now());
+          state.zoneTraffic().recordConnect(endpoint.zone(), startedAtMillis, result.succeeded());
+        });
   }
 
   void recordRequest(FleetEndpoint endpoint) {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -285,7 +285,8 @@
         "127.0.0.1:1",
         0,
         // Each request adds at least one retry to the budget.
-        new ForwardSettings.Bounds(8_000, 3_000, 4, 100, 10_000));
+        new ForwardSettings.Bounds(8_000, 3_000, 4, 100, 10_000),
+        Optional.empty());
   }
 
   /** Applies a configuration with the same routes that declares customers. */
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/HostStateTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/HostStateTest.java
@@ -9,6 +9,7 @@
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.lentilhinge.fleet.EndpointState;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.ForwardConfiguration;
@@ -53,7 +54,8 @@
             List.of("10.0.0.2:3"),
             "127.0.0.1:4",
             0,
-            new ForwardSettings.Bounds(8_000, 3_000, 0.2, 56, 10_000));
+            new ForwardSettings.Bounds(8_000, 3_000, 0.2, 56, 10_000),
+            Optional.empty());
     EventLog log = new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0);
     HostContext context = new HostContext(vertx, settings, () -> 100, log, new MetricRegistry());
     return new HostState(context, ForwardFixture.overlay(settings));
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/LinkedHosts.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/LinkedHosts.java
@@ -93,7 +93,8 @@
             List.of(host(0) + ':' + peerPort, host(1) + ':' + peerPort),
             "127.0.0.1:1",
             0,
-            new ForwardSettings.Bounds(8_000, 3_000, 4, 100, 10_000));
+            new ForwardSettings.Bounds(8_000, 3_000, 4, 100, 10_000),
+            Optional.empty());
     CompletableFuture<ForwardHost> started = new CompletableFuture<>();
     Context loop = vertx.getOrCreateContext();
     loop.runOnContext(unused -> start(loop, settings, ownGates, started));
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnershipSimulation.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnershipSimulation.java
@@ -133,7 +133,8 @@
               seedAddresses,
               "store:80",
               0,
-              BOUNDS));
+              BOUNDS,
+              Optional.empty()));
     }
   }
 
