--- a/core/src/main/java/org/lentilhinge/zone/EngineRoom.java
+++ b/core/src/main/java/org/lentilhinge/zone/EngineRoom.java
@@ -37,9 +37,9 @@
   private static final double IDLE_WAIT_MILLIS = 40;
 
   /**
-   * The time in which waiting work is to be worked off elsewhere, in milliseconds. It is about
-   * twice the delay with which an effect shows in the statuses; a shorter time lets the shares
-   * oscillate.
+   * The time in which waiting work is to be worked off elsewhere, in milliseconds. It is about the
+   * delay with which an effect shows in the statuses. In the simulation a shorter time moved the
+   * shares more without serving more requests.
    */
   private static final double DRAIN_MILLIS = 400;
 
--- a/core/src/main/java/org/lentilhinge/zone/RequestZones.java
+++ b/core/src/main/java/org/lentilhinge/zone/RequestZones.java
@@ -74,7 +74,9 @@
       return true;
     }
     boolean leaves =
-        !readyHere || plan.mayLeave(zone, requestHash) || (refusedHere && plan.hasRoom(zone));
+        !readyHere
+            || plan.mayLeave(zone, requestHash)
+            || (refusedHere && plan.mayLeaveRefused(zone, requestHash));
     return leaves && open.test(zone);
   }
 
--- a/core/src/main/java/org/lentilhinge/zone/ZoneCapacity.java
+++ b/core/src/main/java/org/lentilhinge/zone/ZoneCapacity.java
@@ -31,13 +31,20 @@
   private static final double OFFERED_PART = 0.8;
 
   /**
-   * The part of the work that leaves which is carried on without a further wait. Without it a zone
-   * with half as much demand again as capacity would let its requests wait for 400 ms.
+   * The part of the work that leaves which needs no further wait to go on leaving. Without it, the
+   * requests of a zone with a demand of 1.5 times its capacity would wait for 250 ms, near to the
+   * third of a target of a second after which engines refuse them.
    */
-  private static final double CARRIED_PART = 0.7;
+  private static final double CARRIED_PART = 0.5;
 
   /** The time constant with which the carried part follows, in milliseconds. */
-  private static final double CARRY_MILLIS = 1_500;
+  private static final double CARRY_MILLIS = 1_000;
+
+  /**
+   * The time after a shortage for which a zone offers nothing, in milliseconds. Otherwise a zone at
+   * its limit would send and receive in turn.
+   */
+  private static final long RECOVERY_MILLIS = 1_000;
 
   private boolean known;
   private int engines;
@@ -45,6 +52,7 @@
   private double overload;
   private boolean shortage;
   private double carried;
+  private long millisSinceShortage = RECOVERY_MILLIS;
 
   private int allEngines;
   private int knownEngines;
@@ -85,6 +93,8 @@
     overload += weight * (overloadSum - overload);
     double excess = overload - spare;
     shortage = shortage ? excess >= -ENOUGH_ABOVE * engines : excess > SHORT_ABOVE * engines;
+    millisSinceShortage =
+        shortage ? 0 : Math.min(RECOVERY_MILLIS, millisSinceShortage + elapsedMillis);
     double carryWeight = 1 - Math.exp(-elapsedMillis / CARRY_MILLIS);
     carried = shortage ? carried + carryWeight * (CARRIED_PART * need() - carried) : 0;
   }
@@ -105,7 +115,10 @@
 
   /** Returns the capacity that other zones may use, in engines. */
   double offered() {
-    boolean offers = known && !shortage && spare - overload > OFFERED_ABOVE * engines;
+    boolean offers =
+        known
+            && millisSinceShortage >= RECOVERY_MILLIS
+            && spare - overload > OFFERED_ABOVE * engines;
     return offers ? OFFERED_PART * (spare - overload) : 0;
   }
 
--- a/core/src/main/java/org/lentilhinge/zone/ZoneTrafficPlan.java
+++ b/core/src/main/java/org/lentilhinge/zone/ZoneTrafficPlan.java
@@ -15,6 +15,9 @@
    */
   private static final long SALT = 0x9e3779b97f4a7c15L;
 
+  /** Mixed into the hashes of requests that were refused. */
+  private static final long REFUSED_SALT = 0xd1b54a32d192ed03L;
+
   private final String zone;
   private final boolean restricted;
   private final List<Share> shares;
@@ -27,10 +30,10 @@
    * @param share the part of the requests
    * @param roomHere the spare capacity of the own zone, in engines
    * @param roomThere the spare capacity of the other zone, in engines
-   * @param offers whether other zones may use that capacity
+   * @param refusedShare the part of the requests that an engine of the own zone has refused
    */
   public record Share(
-      String zone, double share, double roomHere, double roomThere, boolean offers) {}
+      String zone, double share, double roomHere, double roomThere, double refusedShare) {}
 
   /**
    * Creates a plan.
@@ -69,6 +72,10 @@
     return prices.costMillis(targetZone, bytes);
   }
 
+  private static double position(long bits) {
+    return (RendezvousHash.mix(bits) >>> UNUSED_BITS) * UNIT;
+  }
+
   /**
    * Returns whether a request that the own zone can serve may be sent to a zone. The answer depends
    * on the hash alone while the shares stay the same.
@@ -81,7 +88,7 @@
     if (!restricted || targetZone.equals(zone)) {
       return true;
     }
-    double position = (RendezvousHash.mix(requestHash ^ SALT) >>> UNUSED_BITS) * UNIT;
+    double position = position(requestHash ^ SALT);
     for (Share share : shares) {
       if (position < share.share()) {
         return share.zone().equals(targetZone);
@@ -92,18 +99,21 @@
   }
 
   /**
-   * Returns whether a zone offers capacity. A request that an engine of its own zone has refused
-   * may be sent there although it is not in the share: few requests are refused before a share
-   * takes effect, and they are those that would otherwise not be served.
+   * Returns whether a request that an engine of its own zone has refused may be sent to a zone,
+   * besides the planned shares. Even if all requests were refused, those that leave would not
+   * exceed what the receivers have left beside all shares.
    *
    * @param targetZone the zone
-   * @return whether the zone has spare capacity
+   * @param requestHash a number that differs from request to request
+   * @return whether the request may be sent there
    */
-  public boolean hasRoom(String targetZone) {
+  public boolean mayLeaveRefused(String targetZone, long requestHash) {
+    double position = position(requestHash ^ REFUSED_SALT);
     for (Share share : shares) {
-      if (share.zone().equals(targetZone)) {
-        return share.offers();
+      if (position < share.refusedShare()) {
+        return share.zone().equals(targetZone);
       }
+      position -= share.refusedShare();
     }
     return false;
   }
--- a/core/src/main/java/org/lentilhinge/zone/ZoneTrafficPlanner.java
+++ b/core/src/main/java/org/lentilhinge/zone/ZoneTrafficPlanner.java
@@ -89,7 +89,7 @@
     for (String region : regionNames) {
       match(inRegion(senders, region, true), inRegion(receivers, region, false));
     }
-    return plan(senders, prices);
+    return plan(senders, receivers, prices);
   }
 
   private void updateCapacities(Collection<EngineRoom> engines, long nowMillis) {
@@ -129,24 +129,38 @@
     receivers.forEach(party -> party.rest *= 1 - matched / offered);
   }
 
-  private ZoneTrafficPlan plan(List<Party> senders, ZonePrices prices) {
+  private ZoneTrafficPlan plan(List<Party> senders, List<Party> receivers, ZonePrices prices) {
     ZoneCapacity own = zones.get(zone);
     if (own == null || !own.isKnown()) {
       return ZoneTrafficPlan.unrestricted(zone, prices);
     }
     Map<String, Double> flows = new HashMap<>();
-    senders.stream()
-        .filter(party -> party.zone.equals(zone))
-        .forEach(party -> flows.putAll(party.flows));
+    int otherSenders = 0;
+    for (Party sender : senders) {
+      if (sender.zone.equals(zone)) {
+        flows.putAll(sender.flows);
+      } else {
+        otherSenders++;
+      }
+    }
+    Map<String, Double> rests = new HashMap<>();
+    receivers.forEach(party -> rests.put(party.zone, party.rest));
+    double demand = own.demand();
+    double totalDemand = demand * (1 + otherSenders);
+    double totalRest = rests.values().stream().mapToDouble(rest -> rest).sum();
     List<ZoneTrafficPlan.Share> shares = new ArrayList<>();
     zones.forEach(
         (target, capacity) -> {
           if (!target.equals(zone)) {
             double flow = flows.getOrDefault(target, 0.0);
-            double share = flow == 0 ? 0 : Math.min(1, flow / own.demand());
+            double rest = rests.getOrDefault(target, 0.0);
             shares.add(
                 new ZoneTrafficPlan.Share(
-                    target, share, own.spare(), capacity.spare(), capacity.offered() > 0));
+                    target,
+                    flow == 0 ? 0 : Math.min(1, flow / demand),
+                    own.spare(),
+                    capacity.spare(),
+                    rest == 0 ? 0 : rest / Math.max(totalRest, totalDemand)));
           }
         });
     return new ZoneTrafficPlan(zone, true, shares, prices);
