--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardSettingsReaderTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardSettingsReaderTest.java
@@ -4,9 +4,14 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import org.lentilhinge.finding.Findings;
 import org.lentilhinge.runtime.ini.IniReader;
+import org.lentilhinge.zone.ZoneTrafficSettings;
 import org.testng.annotations.Test;
 
 /** Tests the reader of the settings of the forwarding path. */
@@ -77,6 +82,28 @@
     assertTrue(text.contains("extra"), text);
   }
 
+  @Test
+  public void zoneTrafficIsPlannedOnlyIfItsSectionHasKeys() {
+    assertTrue(reader.read("s.ini", VALID).get().zoneTraffic().isEmpty());
+    assertTrue(reader.read("s.ini", VALID + "[zone-traffic]\n").get().zoneTraffic().isEmpty());
+    String stated = VALID + "[zone-traffic]\nregion-bandwidth = 42\nzone-price = 500\n";
+    assertEquals(
+        reader.read("s.ini", stated).get().zoneTraffic(),
+        Optional.of(new ZoneTrafficSettings(500, 0, 42, 0.5)));
+    String wrong = VALID + "[zone-traffic]\nregion-bandwidth-share = 2\nprice = 1\n";
+    String findings = reader.read("s.ini", wrong).getLeft().toString();
+    assertTrue(findings.contains("region-bandwidth-share"), findings);
+    assertTrue(findings.contains("'price' is unknown"), findings);
+  }
+
+  @Test
+  public void sampleShowsTheDefaults() throws IOException {
+    ForwardSettings settings =
+        reader.read("s.ini", Files.readString(Path.of("../conf/forwarding.ini"))).get();
+    assertTrue(settings.zoneTraffic().isEmpty());
+    assertEquals(settings.bounds(), new ForwardSettings.Bounds(8_000, 3_000, 0.1, 10, 10_000));
+  }
+
   @Test
   public void distinguishesSettingsOfBothInterfaces() {
     assertTrue(ForwardSettingsReader.isForwarding(VALID));
