--- a/core/src/main/java/org/lentilhinge/zone/RequestZones.java
+++ b/core/src/main/java/org/lentilhinge/zone/RequestZones.java
@@ -1,7 +1,9 @@
 package org.lentilhinge.zone;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.lentilhinge.fleet.FleetEndpoint;
@@ -62,8 +64,12 @@
         refusedHere |= isExcluded;
       }
     }
+    // There are many endpoints in few zones.
+    Map<String, Boolean> permittedZones = new HashMap<>();
     List<FleetEndpoint> permitted =
-        endpoints.stream().filter(endpoint -> isPermitted(endpoint.zone())).toList();
+        endpoints.stream()
+            .filter(endpoint -> permittedZones.computeIfAbsent(endpoint.zone(), this::isPermitted))
+            .toList();
     boolean left =
         permitted.stream().anyMatch(endpoint -> !excluded.contains(endpoint.incarnation()));
     return left ? permitted : endpoints;
