--- a/core/src/main/java/org/lentilhinge/zone/ZoneRoundTrips.java
+++ b/core/src/main/java/org/lentilhinge/zone/ZoneRoundTrips.java
@@ -1,8 +1,10 @@
 package org.lentilhinge.zone;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 
 /**
  * The round-trip time from this host to the endpoints of each zone: the minimum of the times that
@@ -18,8 +20,11 @@
   /** The connections without which a window does not end, as one or two may be slow by chance. */
   private static final int MINIMUM_SAMPLES = 3;
 
-  /** The failures in a row after which a zone counts as unreachable: more than one endpoint's. */
-  private static final int UNREACHABLE_FAILURES = 2;
+  /**
+   * The number of endpoints that fail, while none responds, after which their zone counts as
+   * unreachable. One endpoint may have crashed.
+   */
+  private static final int UNREACHABLE_ENDPOINTS = 2;
 
   /**
    * The time after its last failure for which a zone counts as unreachable. Then a request may try
@@ -37,7 +42,7 @@
     private double precedingMillis = Double.POSITIVE_INFINITY;
     private int samples;
     private long windowStartMillis;
-    private int failures;
+    private final Set<String> failedEndpoints = new HashSet<>();
     private long failedAtMillis;
   }
 
@@ -50,7 +55,7 @@
    */
   public void recordConnect(String zone, double durationMillis, long nowMillis) {
     Entry entry = entries.computeIfAbsent(zone, unused -> new Entry());
-    entry.failures = 0;
+    entry.failedEndpoints.clear();
     if (entry.samples == 0) {
       entry.windowStartMillis = nowMillis;
     } else if (entry.samples >= MINIMUM_SAMPLES
@@ -68,14 +73,28 @@
    * Records a connection that could not be opened.
    *
    * @param zone the zone of the endpoint
+   * @param incarnation the incarnation of the endpoint
    * @param nowMillis the current time, in milliseconds
    */
-  public void recordFailure(String zone, long nowMillis) {
+  public void recordFailure(String zone, String incarnation, long nowMillis) {
     Entry entry = entries.computeIfAbsent(zone, unused -> new Entry());
-    entry.failures++;
+    entry.failedEndpoints.add(incarnation);
     entry.failedAtMillis = nowMillis;
   }
 
+  /**
+   * Records a response, which shows that the zone is reachable although no new connection was
+   * needed.
+   *
+   * @param zone the zone of the endpoint
+   */
+  public void recordResponse(String zone) {
+    Entry entry = entries.get(zone);
+    if (entry != null) {
+      entry.failedEndpoints.clear();
+    }
+  }
+
   /**
    * Returns whether the latest connections to a zone could not be opened.
    *
@@ -86,7 +105,7 @@
   public boolean isUnreachable(String zone, long nowMillis) {
     Entry entry = entries.get(zone);
     return entry != null
-        && entry.failures >= UNREACHABLE_FAILURES
+        && entry.failedEndpoints.size() >= UNREACHABLE_ENDPOINTS
         && nowMillis - entry.failedAtMillis < UNREACHABLE_MILLIS;
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/PathRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/PathRunner.java
@@ -102,7 +102,7 @@
     return connecting.onComplete(
         result -> {
           monitor.recordConnect(endpoint.incarnation(), result.succeeded(), context.now());
-          state.zoneTraffic().recordConnect(endpoint.zone(), startedAtMillis, result.succeeded());
+          state.zoneTraffic().recordConnect(endpoint, startedAtMillis, result.succeeded());
         });
   }
 
@@ -112,6 +112,7 @@
 
   void recordResponse(FleetEndpoint endpoint) {
     monitor.recordResponse(endpoint.incarnation(), context.now());
+    state.zoneTraffic().recordResponse(endpoint);
   }
 
   /** Records that an endpoint has sent a part of a response. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ZoneTraffic.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ZoneTraffic.java
@@ -218,15 +218,20 @@
   }
 
   /** Records that a connection was opened, or could not be. */
-  void recordConnect(String zone, long startedAtMillis, boolean succeeded) {
+  void recordConnect(FleetEndpoint endpoint, long startedAtMillis, boolean succeeded) {
     long now = context.now();
     if (settings.isEmpty()) {
       return;
     }
     if (succeeded) {
-      roundTrips.recordConnect(zone, now - startedAtMillis, now);
+      roundTrips.recordConnect(endpoint.zone(), now - startedAtMillis, now);
     } else {
-      roundTrips.recordFailure(zone, now);
+      roundTrips.recordFailure(endpoint.zone(), endpoint.incarnation(), now);
     }
   }
+
+  /** Records that an endpoint has responded. */
+  void recordResponse(FleetEndpoint endpoint) {
+    roundTrips.recordResponse(endpoint.zone());
+  }
 }
