--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -58,6 +58,7 @@
   private final HostOverlay hosts;
   private final ZoneDistances distances;
   private final CustomerQuotas quotas;
+  private final ZoneTraffic zoneTraffic;
   private final Map<String, RetryBudgetShare> retryBudgetShares = new HashMap<>();
   private final Map<String, Long> adapterVersions = new HashMap<>();
   private Optional<ForwardConfiguration> configuration = Optional.empty();
@@ -79,6 +80,7 @@
     sendConditions = List.of(this::checkPath, this::checkRegistered, pauses);
     ForwardSettings settings = context.settings();
     distances = new ZoneDistances(settings.zone(), settings.region(), settings.zoneRegions());
+    zoneTraffic = new ZoneTraffic(context, endpoints, engineSelector, hosts, distances);
   }
 
   EndpointRegistry endpoints() {
@@ -129,6 +131,10 @@
     return distances;
   }
 
+  ZoneTraffic zoneTraffic() {
+    return zoneTraffic;
+  }
+
   Optional<ForwardConfiguration> configuration() {
     return configuration;
   }
