Order permit requests of declared customers under shortage

Waiting requests were ordered by target time alone, and the request that arrived last was refused. Where a request states the standing of its customer, requests are now ordered by priority with aging, then by the customer's use, and the least urgent request of the customer furthest above its share is refused. Queues without a standing are decided as before.

QueueAdmission is cut out of EngineScheduler.

--- a/core/src/main/java/org/lentilhinge/permit/EngineCommand.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineCommand.java
@@ -8,9 +8,11 @@
    *
    * @param host the host that sent the permit request
    * @param answer the answer
+   * @param request the permit request
    * @param waitedMillis how long the permit request waited, in milliseconds
    */
-  record Answer(String host, PermitAnswer answer, long waitedMillis) implements EngineCommand {
+  record Answer(String host, PermitAnswer answer, PermitRequest request, long waitedMillis)
+      implements EngineCommand {
 
     private static final long MINIMUM_RETRY_MILLIS = 100;
 
@@ -28,7 +30,7 @@
         String host, PermitRequest request, long retryMillis, String reason, long waitedMillis) {
       long retry = Math.max(MINIMUM_RETRY_MILLIS, retryMillis);
       return new Answer(
-          host, new PermitAnswer(request.permitId(), false, retry, reason), waitedMillis);
+          host, new PermitAnswer(request.permitId(), false, retry, reason), request, waitedMillis);
     }
 
     /** Refuses a permit request because of the request limit that the engine states. */
--- a/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
@@ -11,14 +11,11 @@
 /**
  * Decides which requests to one incarnation of an engine are sent, wait or are refused, and which
  * adapters the engine loads and unloads. Requests for a resident adapter need not wait for a slot.
- * Waiting requests that can still meet their target come first, in the order of these targets.
+ * A {@link RequestOrder} decides which waiting requests come first.
  */
 public final class EngineScheduler {
   private static final long UNREACHABLE_BACKOFF_MILLIS = 1_000;
 
-  /** The time to the first event beyond the wait and the prefill, in milliseconds. */
-  private static final long OVERHEAD_MILLIS = 60;
-
   private static final String UNREACHABLE = "engine-unreachable";
   private static final String NO_OWNER = "no-holder";
 
@@ -31,8 +28,8 @@
   private final AdapterDemand demand = new AdapterDemand();
   private final DemandMeter meter = new DemandMeter();
   private final PromptBacklog backlog;
-  private final SlotWaitEstimator slotWaits = new SlotWaitEstimator();
   private final RequestQueue queue = new RequestQueue();
+  private final QueueAdmission admission;
   private final RunningRequests running = new RunningRequests();
   private final SlotTurnover turnover;
   private final RequestRate rate;
@@ -41,6 +38,13 @@
   private boolean modelPresent;
   private boolean modelOrdered;
   private boolean canOrder;
+
+  /** Whether a request waits for capacity in the current decision. */
+  private boolean capacityShort;
+
+  /** Whether requests further behind wait for the sake of one that waits for capacity. */
+  private boolean capacityHeld;
+
   private long canOrderInMillis;
 
   /**
@@ -65,6 +69,7 @@
     this.slots = new AdapterSlots(settings.adapterSlots());
     this.turnover = new SlotTurnover(settings, model, slots, demand);
     this.backlog = new PromptBacklog(tokensPerMillisecond);
+    this.admission = new QueueAdmission(settings, slots, backlog, queue);
   }
 
   /**
@@ -181,16 +186,12 @@
     if (rateWaitMillis > MAXIMUM_RATE_WAIT_MILLIS) {
       return List.of(EngineCommand.Answer.limitRefusal(host, request, rateWaitMillis));
     }
-    long waitMillis = expectedWaitMillis(request, nowMillis);
-    long firstMillis = waitMillis + backlog.prefillMillis(request.promptTokens()) + OVERHEAD_MILLIS;
-    boolean late =
-        firstMillis > request.remainingTargetMillis() && waitMillis > QueueEntry.MINIMUM_RUN_MILLIS;
-    if (late || waitMillis > QueueEntry.maximumWaitMillis(request)) {
-      return List.of(EngineCommand.Answer.refusal(host, request, waitMillis, "no-room", 0));
+    List<EngineCommand> commands = new ArrayList<>(admission.admit(host, request, nowMillis));
+    boolean waits = queue.contains(QueueEntry.key(host, request.permitId()));
+    if (waits) {
+      commands.addAll(decide(nowMillis));
     }
-    int slotsAhead = needsSlot(request) ? queue.adaptersWithoutSlot(slots) : QueueEntry.NO_SLOT;
-    queue.add(new QueueEntry(host, request, nowMillis, slotsAhead));
-    return decide(nowMillis);
+    return commands;
   }
 
   private void recordDemand(PermitRequest request, long nowMillis) {
@@ -208,24 +209,6 @@
     return !canOrder && !(loaded && modelPresent);
   }
 
-  private long expectedWaitMillis(PermitRequest request, long nowMillis) {
-    long prefillMillis = Math.max(0, prefillMillis(nowMillis) - settings.backlogMillis());
-    return needsSlot(request)
-        ? Math.max(prefillMillis, slotWaits.expectedWaitMillis(queue.adaptersWithoutSlot(slots)))
-        : prefillMillis;
-  }
-
-  private long prefillMillis(long nowMillis) {
-    return backlog.remainingMillis(nowMillis) + backlog.prefillMillis(queue.promptTokens());
-  }
-
-  private boolean needsSlot(PermitRequest request) {
-    return !request.adapter().isEmpty()
-        && slots.find(request.adapter()).isEmpty()
-        && slots.available() == 0
-        && !queue.hasAdapter(request.adapter());
-  }
-
   /**
    * Releases a permit, or withdraws a permit request.
    *
@@ -350,9 +333,13 @@
     }
     Set<String> requested = queue.adapters();
     turnover.begin();
+    capacityShort = false;
+    capacityHeld = false;
+    int waiting = queue.size();
     for (QueueEntry entry : queue.byUrgency(nowMillis)) {
       decide(entry, requested, nowMillis, commands);
     }
+    admission.recordDecision(waiting - queue.size(), capacityShort, nowMillis);
     return commands;
   }
 
@@ -388,12 +375,13 @@
       QueueEntry entry, Optional<AdapterSlot> slot, long nowMillis, List<EngineCommand> commands) {
     boolean fits =
         running.fits(entry.request(), settings)
-            && backlog.admits(entry.request().promptTokens(), settings.backlogMillis(), nowMillis)
-            && rate.tryTake(nowMillis);
-    if (!fits) {
+            && backlog.admits(entry.request().promptTokens(), settings.backlogMillis(), nowMillis);
+    capacityShort |= !fits;
+    capacityHeld |= !fits && queue.order().holdsCapacity(entry, nowMillis);
+    if (capacityHeld || !fits || !rate.tryTake(nowMillis)) {
       return;
     }
-    recordSlotWait(entry, nowMillis);
+    admission.recordPermit(entry, nowMillis);
     queue.remove(entry.key());
     long prefillMillis = backlog.add(entry.request().promptTokens(), nowMillis);
     running.add(
@@ -403,15 +391,10 @@
         new EngineCommand.Answer(
             entry.host(),
             new PermitAnswer(entry.request().permitId(), true, 0, "resident"),
+            entry.request(),
             entry.waitedMillis(nowMillis)));
   }
 
-  private void recordSlotWait(QueueEntry entry, long nowMillis) {
-    if (entry.waitsForSlot()) {
-      slotWaits.recordWait(entry.slotsAhead(), entry.waitedMillis(nowMillis));
-    }
-  }
-
   private void refuseOverdue(long nowMillis, List<EngineCommand> commands) {
     int ahead = 0;
     for (QueueEntry entry : queue.all()) {
@@ -423,10 +406,8 @@
         queue.remove(entry.key());
         commands.add(entry.refusal(canOrderInMillis, NO_OWNER, nowMillis));
       } else if (entry.isOverdue(nowMillis)) {
-        recordSlotWait(entry, nowMillis);
         queue.remove(entry.key());
-        long waitMillis = expectedWaitMillis(entry.request(), nowMillis);
-        commands.add(entry.refusal(waitMillis, "waited-in-vain", nowMillis));
+        commands.add(admission.refuseOverdue(entry, nowMillis));
       } else {
         ahead++;
       }
@@ -450,7 +431,7 @@
             incarnation,
             owned,
             slots.loadedOrLoadingNames(),
-            Math.max(prefillMillis(nowMillis), rate.waitMillis(queue.size(), nowMillis)),
+            Math.max(admission.prefillMillis(nowMillis), rate.waitMillis(queue.size(), nowMillis)),
             slots.available(),
             queue.adaptersWithoutSlot(slots))
         .withLoads(meter.loads(nowMillis));
--- a/core/src/main/java/org/lentilhinge/permit/PermitAnswer.java
+++ b/core/src/main/java/org/lentilhinge/permit/PermitAnswer.java
@@ -20,6 +20,9 @@
   /** The reason of a refusal because the endpoint leaves. */
   public static final String ENDPOINT_LEFT = "endpoint-left";
 
+  /** The reason of the refusal of a waiting request in favor of another one. */
+  public static final String DISPLACED = "displaced";
+
   /**
    * Returns whether the permit was refused because the endpoint leaves.
    *
--- a/core/src/main/java/org/lentilhinge/permit/QueueEntry.java
+++ b/core/src/main/java/org/lentilhinge/permit/QueueEntry.java
@@ -1,5 +1,7 @@
 package org.lentilhinge.permit;
 
+import java.util.Optional;
+
 /**
  * A permit request in the queue of an engine scheduler.
  *
@@ -20,6 +22,22 @@
   /** The fraction of the time to its target that a request may wait before it is refused. */
   private static final double MAXIMUM_WAIT_FRACTION = 0.85;
 
+  /** The number of priorities that are counted separately; the last one includes all others. */
+  static final int PRIORITY_CLASSES = 10;
+
+  /** Returns the priority, limited to the classes that are counted. */
+  int priorityClass() {
+    return Math.max(0, Math.min(PRIORITY_CLASSES - 1, request.priority()));
+  }
+
+  Optional<CustomerStanding> standing() {
+    return standing(request);
+  }
+
+  static Optional<CustomerStanding> standing(PermitRequest request) {
+    return request.terms().flatMap(PermitTerms::customer);
+  }
+
   String key() {
     return key(host, request.permitId());
   }
--- a/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
+++ b/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
@@ -1,7 +1,6 @@
 package org.lentilhinge.permit;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,20 +11,35 @@
 final class RequestQueue {
 
   private final Map<String, QueueEntry> entries = new LinkedHashMap<>();
+  private final RequestOrder targetOrder = new TargetOrder();
+  private final StandingOrder standingOrder = new StandingOrder();
+
+  /** The number of requests that state a customer. */
+  private int standings;
 
   void add(QueueEntry entry) {
-    entries.put(entry.key(), entry);
+    QueueEntry former = entries.put(entry.key(), entry);
+    standings += count(entry) - count(former);
   }
 
   void remove(String key) {
-    entries.remove(key);
+    standings -= count(entries.remove(key));
+  }
+
+  boolean contains(String key) {
+    return entries.containsKey(key);
+  }
+
+  private static int count(QueueEntry entry) {
+    return entry != null && entry.standing().isPresent() ? 1 : 0;
   }
 
   void removeEnded(EndedPermits ended, long nowMillis) {
-    entries
-        .values()
-        .removeIf(
-            entry -> ended.contains(entry.host(), entry.request(), entry.waitedMillis(nowMillis)));
+    for (QueueEntry entry : all()) {
+      if (ended.contains(entry.host(), entry.request(), entry.waitedMillis(nowMillis))) {
+        remove(entry.key());
+      }
+    }
   }
 
   /** Removes all requests and returns their refusals. */
@@ -35,6 +49,7 @@
       refusals.add(entry.refusal(retryMillis, reason, nowMillis));
     }
     entries.clear();
+    standings = 0;
     return refusals;
   }
 
@@ -50,16 +65,28 @@
     return List.copyOf(entries.values());
   }
 
-  /**
-   * Returns the requests that can still meet their target, followed by the others. Each group is
-   * ordered by the target time of the first event.
-   */
+  /** Returns the requests in the order in which they are to be served. */
   List<QueueEntry> byUrgency(long nowMillis) {
-    List<QueueEntry> sorted = new ArrayList<>(entries.values());
-    sorted.sort(
-        Comparator.<QueueEntry>comparingInt(entry -> entry.canMeetTarget(nowMillis) ? 0 : 1)
-            .thenComparingLong(QueueEntry::targetAtMillis));
-    return sorted;
+    return order().sort(entries.values(), nowMillis);
+  }
+
+  /** Returns the order that applies: a single request that states a customer decides. */
+  RequestOrder order() {
+    return hasStanding() ? standingOrder : targetOrder;
+  }
+
+  boolean hasStanding() {
+    return standings > 0;
+  }
+
+  /** Records that a waiting request got a permit. */
+  void recordPermit(QueueEntry entry) {
+    standingOrder.recordPermit(entry);
+  }
+
+  /** Records that a request was refused for want of capacity. */
+  void recordRefusal(QueueEntry entry) {
+    standingOrder.recordRefusal(entry);
   }
 
   boolean hasAdapter(String adapter) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -87,8 +87,7 @@
     this.continuation =
         new StreamContinuation(context, forwarder.streamOrigins(), requestMetadata, route, service);
     this.choice = new EndpointChoice(state, context, service, requestMetadata);
-    this.permit =
-        new RequestPermit(forwarder, requestMetadata, identity.priority(route.priority()), log);
+    this.permit = new RequestPermit(forwarder, requestMetadata, route, identity, log);
     this.keptFailure = new KeptFailure(context, forwarder.responseMemory());
     this.resumeAfter = requestMetadata.resumeAfter();
     this.arrivedAtMillis = arrivedAtMillis;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.ToDoubleFunction;
 import org.lentilhinge.customer.CustomerDirectory;
 import org.lentilhinge.customer.DeclaredCustomers;
 import org.lentilhinge.dispatch.EndpointPauses;
@@ -61,6 +62,7 @@
   private final Map<String, Long> adapterVersions = new HashMap<>();
   private Optional<ForwardConfiguration> configuration = Optional.empty();
   private RouteTable routes = new RouteTable(List.of());
+  private ToDoubleFunction<String> relativeUse = customer -> 1;
   private CustomerDirectory customers = new CustomerDirectory(DeclaredCustomers.NONE);
   private StoreRevision storeRevision = StoreRevision.NONE;
   private OptionalLong revisionRequestedAtMillis = OptionalLong.empty();
@@ -144,6 +146,16 @@
     return customers;
   }
 
+  /** Returns the recent use of a customer in proportion to its share; the mean is 1. */
+  double relativeUse(String customer) {
+    return relativeUse.applyAsDouble(customer);
+  }
+
+  /** Sets the source of the customers' relative use, which is 1 without one. */
+  void setRelativeUse(ToDoubleFunction<String> source) {
+    relativeUse = source;
+  }
+
   ForwardLimits forwardLimits() {
     return configuration.map(ForwardConfiguration::limits).orElse(ForwardLimits.DEFAULT);
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineLog.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineLog.java
@@ -2,11 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.permit.AdapterOrder;
+import org.lentilhinge.permit.CustomerStanding;
 import org.lentilhinge.permit.EngineCommand;
 import org.lentilhinge.permit.EngineOwnership;
 import org.lentilhinge.permit.OwnershipObjection;
+import org.lentilhinge.permit.PermitAnswer;
+import org.lentilhinge.permit.PermitTerms;
 
 /** Writes the log lines of one engine that this host schedules. */
 final class OwnedEngineLog {
@@ -116,21 +120,32 @@
         ownership.fencingToken().orElse(0));
   }
 
+  /** Writes an answer; a refusal in favor of another request states what decided about it. */
   void writeAnswer(EngineCommand.Answer answer) {
-    log.line(
-        answer.answer().granted() ? "permit" : "permit-refused",
-        "engine",
-        engine.id(),
-        "host",
-        answer.host(),
-        "ask",
-        answer.answer().permitId(),
-        "why",
-        answer.answer().reason(),
-        "waitedMs",
-        answer.waitedMillis(),
-        "retryMs",
-        answer.answer().retryAfterMillis());
+    List<Object> fields =
+        withEngine(
+            "host",
+            answer.host(),
+            "ask",
+            answer.answer().permitId(),
+            "why",
+            answer.answer().reason(),
+            "waitedMs",
+            answer.waitedMillis(),
+            "retryMs",
+            answer.answer().retryAfterMillis());
+    if (answer.answer().reason().equals(PermitAnswer.DISPLACED)) {
+      Optional<CustomerStanding> standing = answer.request().terms().flatMap(PermitTerms::customer);
+      fields.addAll(
+          List.of(
+              "customer",
+              standing.map(CustomerStanding::name).orElse("-"),
+              "priority",
+              answer.request().priority(),
+              "use",
+              standing.map(CustomerStanding::relativeUse).orElse(1.0)));
+    }
+    log.line(answer.answer().granted() ? "permit" : "permit-refused", fields.toArray());
   }
 
   /** Writes how the engine answered an order, and on which knowledge it was sent. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -46,6 +46,7 @@
   private final OwnershipConsent consent;
   private final OwnershipRules ownershipRules;
   private final OwnedEngineLog log;
+  private final PermitMetrics permitMetrics;
   private final DecisionTimer decisionTimer;
   private final EngineReportReader reports;
   private final EngineOrderSender orders;
@@ -79,6 +80,7 @@
         new EngineOwnership(
             context.settings().bounds().leaseMillis(), RendezvousHash.hash(context.host()));
     log = new OwnedEngineLog(context.log(), engine, ownership);
+    permitMetrics = new PermitMetrics(context.metrics());
     consent = new OwnershipConsent(context, state, peers, engine, log);
     ownershipRules = new OwnershipRules(context, state, engine, ownership, counts, consent);
     decisionTimer =
@@ -325,6 +327,7 @@
     for (EngineCommand command : commands) {
       if (command instanceof EngineCommand.Answer answer) {
         log.writeAnswer(answer);
+        permitMetrics.record(answer);
         peers.send(answer.host(), answer.answer());
       } else if (command instanceof EngineCommand.Order order) {
         log.writeOrder("order-decided", order.order(), order.reason());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestPermit.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestPermit.java
@@ -2,7 +2,10 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.lentilhinge.customer.CallerIdentity;
 import org.lentilhinge.fleet.FleetEndpoint;
+import org.lentilhinge.forward.ForwardRoute;
+import org.lentilhinge.permit.CustomerStanding;
 import org.lentilhinge.permit.PermitAnswer;
 import org.lentilhinge.permit.PermitRequest;
 import org.lentilhinge.permit.PermitReturn;
@@ -22,7 +25,8 @@
   private final HostState state;
   private final RequestMetadata requestMetadata;
   private final RequestMetadata.Generation generation;
-  private final int priority;
+  private final ForwardRoute route;
+  private final CallerIdentity identity;
   private final RequestLog log;
   private Optional<Permit> current = Optional.empty();
 
@@ -39,21 +43,26 @@
    */
   record Times(long targetMillis, long remainingMillis, long maximumWaitMillis, boolean repeated) {
 
-    private Optional<PermitTerms> terms() {
-      return maximumWaitMillis > 0 || repeated
-          ? Optional.of(new PermitTerms(Optional.empty(), maximumWaitMillis, repeated))
+    private Optional<PermitTerms> terms(Optional<CustomerStanding> standing) {
+      return standing.isPresent() || maximumWaitMillis > 0 || repeated
+          ? Optional.of(new PermitTerms(standing, maximumWaitMillis, repeated))
           : Optional.empty();
     }
   }
 
   RequestPermit(
-      Forwarder forwarder, RequestMetadata requestMetadata, int priority, RequestLog log) {
+      Forwarder forwarder,
+      RequestMetadata requestMetadata,
+      ForwardRoute route,
+      CallerIdentity identity,
+      RequestLog log) {
     this.permits = forwarder.permits();
     this.context = forwarder.context();
     this.state = forwarder.state();
     this.requestMetadata = requestMetadata;
     this.generation = requestMetadata.generation().orElse(RequestMetadata.Generation.UNKNOWN);
-    this.priority = priority;
+    this.route = route;
+    this.identity = identity;
     this.log = log;
   }
 
@@ -75,11 +84,11 @@
             adapterVersion(),
             generation.promptTokens(),
             generation.outputTokens(),
-            priority,
+            identity.priority(route.priority()),
             times.targetMillis(),
             times.remainingMillis(),
             state.limits().find(engine.incarnation()),
-            times.terms());
+            times.terms(standing(times)));
     logRequest(engine, host, request);
     state
         .engineSelector()
@@ -96,6 +105,23 @@
         });
   }
 
+  /**
+   * Returns the standing of the request's customer. A caller that returns after a refusal states a
+   * shorter time until its deadline than the timeout of the route.
+   */
+  private Optional<CustomerStanding> standing(Times times) {
+    long elapsedMillis = Math.max(0, route.timeoutMillis() - times.remainingMillis());
+    return identity
+        .customerName()
+        .map(
+            name ->
+                new CustomerStanding(
+                    name,
+                    route.priority(),
+                    state.relativeUse(name),
+                    Math.min(elapsedMillis, route.targetMillis())));
+  }
+
   private void logRequest(FleetEndpoint engine, String host, PermitRequest request) {
     log.write(
         "ask",
