--- a/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
+++ b/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
@@ -16,6 +16,12 @@
   /** The time to the first event beyond the wait and the prefill, in milliseconds. */
   private static final long OVERHEAD_MILLIS = 60;
 
+  /**
+   * The factor by which a wait may exceed the expected one. Without it, 3% of the requests of a
+   * load of twice the capacity waited until they were refused.
+   */
+  private static final double WAIT_MARGIN = 1.25;
+
   private static final String NO_ROOM = "no-room";
 
   private final SchedulerSettings settings;
@@ -95,7 +101,7 @@
       affected |= entry.equals(added);
       long slotMillis = slotWaitMillis(entry, absent);
       long waitMillis =
-          Math.max(backlogWaitMillis(tokensAhead, nowMillis), serviceRate.waitMillis(index));
+          Math.max(backlogWaitMillis(tokensAhead, nowMillis), serviceRate.waitMillis(index + 1));
       if (affected && isUnservable(entry, waitMillis, nowMillis)) {
         return sorted.subList(0, index + 1);
       }
@@ -139,7 +145,8 @@
 
   /** Returns whether a request would be refused while it waits, or served too late. */
   private boolean isUnservable(QueueEntry entry, long waitMillis, long nowMillis) {
-    boolean refused = waitMillis > 0 && entry.isOverdue(nowMillis + waitMillis);
+    long longestMillis = Math.round(waitMillis * WAIT_MARGIN);
+    boolean refused = waitMillis > 0 && entry.isOverdue(nowMillis + longestMillis);
     return refused || isLate(entry, waitMillis, nowMillis);
   }
 
--- a/core/src/main/java/org/lentilhinge/permit/RefusalRuns.java
+++ b/core/src/main/java/org/lentilhinge/permit/RefusalRuns.java
@@ -1,11 +1,14 @@
 package org.lentilhinge.permit;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Counts how many requests of each priority and of each customer were refused in succession since
- * the last one that got a permit.
+ * the last one that was served.
  */
 final class RefusalRuns {
 
@@ -20,7 +23,11 @@
   /** The number of customers that are counted; the ones counted first are dropped. */
   private static final int MAXIMUM_CUSTOMERS = 1_024;
 
-  private final Map<Integer, Integer> byPriority = new LinkedHashMap<>();
+  private final Map<Integer, Integer> byPriority = new HashMap<>();
+
+  /** The keys of the waiting requests that precede all others; one for each run at most. */
+  private final Set<String> due = new HashSet<>();
+
   private final Map<String, Integer> byCustomer =
       new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
@@ -36,17 +43,35 @@
     entry.standing().ifPresent(standing -> byCustomer.merge(standing.name(), 1, Integer::sum));
   }
 
+  /** Ends the runs of a request that gets a permit. */
   void recordPermit(QueueEntry entry) {
     byPriority.remove(entry.priorityClass());
     entry.standing().ifPresent(standing -> byCustomer.remove(standing.name()));
   }
 
-  /** Returns whether a request may not be refused in favor of another one. */
-  boolean isDue(QueueEntry entry) {
+  /** Begins to serve a request before all others if it is due after a run of refusals. */
+  void recordArrival(QueueEntry entry) {
+    if (isRunComplete(entry)) {
+      due.add(entry.key());
+      recordPermit(entry);
+    }
+  }
+
+  private boolean isRunComplete(QueueEntry entry) {
     return byPriority.getOrDefault(entry.priorityClass(), 0) >= MAXIMUM_RUN
         || entry
             .standing()
             .filter(standing -> byCustomer.getOrDefault(standing.name(), 0) >= MAXIMUM_RUN)
             .isPresent();
   }
+
+  /** Forgets a request that has left the queue. */
+  void remove(String key) {
+    due.remove(key);
+  }
+
+  /** Returns whether a request precedes all others. */
+  boolean isDue(QueueEntry entry) {
+    return due.contains(entry.key());
+  }
 }
--- a/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
+++ b/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
@@ -20,10 +20,12 @@
   void add(QueueEntry entry) {
     QueueEntry former = entries.put(entry.key(), entry);
     standings += count(entry) - count(former);
+    standingOrder.recordArrival(entry);
   }
 
   void remove(String key) {
     standings -= count(entries.remove(key));
+    standingOrder.remove(key);
   }
 
   boolean contains(String key) {
@@ -48,8 +50,7 @@
     for (QueueEntry entry : entries.values()) {
       refusals.add(entry.refusal(retryMillis, reason, nowMillis));
     }
-    entries.clear();
-    standings = 0;
+    all().forEach(entry -> remove(entry.key()));
     return refusals;
   }
 
--- a/core/src/main/java/org/lentilhinge/permit/StandingOrder.java
+++ b/core/src/main/java/org/lentilhinge/permit/StandingOrder.java
@@ -140,6 +140,14 @@
     return levels(entry, nowMillis) > 0;
   }
 
+  void recordArrival(QueueEntry entry) {
+    runs.recordArrival(entry);
+  }
+
+  void remove(String key) {
+    runs.remove(key);
+  }
+
   void recordRefusal(QueueEntry entry) {
     runs.recordRefusal(entry);
   }
