--- a/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
@@ -42,9 +42,6 @@
   /** Whether a request waits for capacity in the current decision. */
   private boolean capacityShort;
 
-  /** Whether requests further behind wait for the sake of one that waits for capacity. */
-  private boolean capacityHeld;
-
   private long canOrderInMillis;
 
   /**
@@ -334,7 +331,6 @@
     Set<String> requested = queue.adapters();
     turnover.begin();
     capacityShort = false;
-    capacityHeld = false;
     int waiting = queue.size();
     for (QueueEntry entry : queue.byUrgency(nowMillis)) {
       decide(entry, requested, nowMillis, commands);
@@ -373,12 +369,12 @@
 
   private void grant(
       QueueEntry entry, Optional<AdapterSlot> slot, long nowMillis, List<EngineCommand> commands) {
+    int tokensToLeave = admission.tokensToLeave(entry.request(), nowMillis);
     boolean fits =
-        running.fits(entry.request(), settings)
+        running.fits(entry.request(), settings, tokensToLeave)
             && backlog.admits(entry.request().promptTokens(), settings.backlogMillis(), nowMillis);
     capacityShort |= !fits;
-    capacityHeld |= !fits && queue.order().holdsCapacity(entry, nowMillis);
-    if (capacityHeld || !fits || !rate.tryTake(nowMillis)) {
+    if (!fits || !rate.tryTake(nowMillis)) {
       return;
     }
     admission.recordPermit(entry, nowMillis);
--- a/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
+++ b/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
@@ -31,6 +31,7 @@
   private final SlotWaitEstimator slotWaits = new SlotWaitEstimator();
   private final ServiceRate serviceRate = new ServiceRate();
   private final ReturnTimes returnTimes = new ReturnTimes();
+  private final MemoryReservation reservation;
 
   QueueAdmission(
       SchedulerSettings settings, AdapterSlots slots, PromptBacklog backlog, RequestQueue queue) {
@@ -38,6 +39,7 @@
     this.slots = slots;
     this.backlog = backlog;
     this.queue = queue;
+    this.reservation = new MemoryReservation(settings.memoryTokens());
   }
 
   /**
@@ -165,6 +167,7 @@
       return entry.refusal(waitMillis, reason, nowMillis);
     }
     queue.recordRefusal(entry);
+    reservation.recordRefusal(entry.request(), nowMillis);
     double intervalMillis = serviceRate.millisPerPermit();
     if (intervalMillis == 0) {
       intervalMillis = backlog.prefillMillis(entry.request().promptTokens());
@@ -184,6 +187,12 @@
   void recordPermit(QueueEntry entry, long nowMillis) {
     recordSlotWait(entry, nowMillis);
     queue.recordPermit(entry);
+    reservation.recordPermit(entry.request());
+  }
+
+  /** Returns the number of tokens that a request has to leave free in the engine's memory. */
+  int tokensToLeave(PermitRequest request, long nowMillis) {
+    return reservation.tokensToLeave(request, nowMillis);
   }
 
   private void recordSlotWait(QueueEntry entry, long nowMillis) {
--- a/core/src/main/java/org/lentilhinge/permit/RequestOrder.java
+++ b/core/src/main/java/org/lentilhinge/permit/RequestOrder.java
@@ -24,14 +24,4 @@
    * @return one of the candidates, or the request that arrived last
    */
   QueueEntry selectRefused(List<QueueEntry> candidates, QueueEntry added, long nowMillis);
-
-  /**
-   * Returns whether a request that does not fit into the engine yet is served before all requests
-   * behind it, also before those that would fit.
-   *
-   * @param entry the request
-   * @param nowMillis the current time, in milliseconds
-   * @return whether the requests behind it have to wait
-   */
-  boolean holdsCapacity(QueueEntry entry, long nowMillis);
 }
--- a/core/src/main/java/org/lentilhinge/permit/RunningRequests.java
+++ b/core/src/main/java/org/lentilhinge/permit/RunningRequests.java
@@ -58,9 +58,14 @@
 
   /** Returns whether a further request fits into batch and memory; the first one always fits. */
   boolean fits(PermitRequest request, SchedulerSettings settings) {
+    return fits(request, settings, 0);
+  }
+
+  /** Returns whether a further request fits beside a number of tokens that are to stay free. */
+  boolean fits(PermitRequest request, SchedulerSettings settings, int tokensToLeave) {
     return running.isEmpty()
         || (running.size() < settings.batchSlots()
-            && tokens + tokens(request) <= settings.memoryTokens());
+            && tokens + tokens(request) + tokensToLeave <= settings.memoryTokens());
   }
 
   /** Returns the predicted end of the last running request of an adapter; 0 if it has none. */
@@ -72,7 +77,7 @@
         .orElse(0);
   }
 
-  private static int tokens(PermitRequest request) {
+  static int tokens(PermitRequest request) {
     return request.promptTokens() + request.outputTokens();
   }
 }
--- a/core/src/main/java/org/lentilhinge/permit/StandingOrder.java
+++ b/core/src/main/java/org/lentilhinge/permit/StandingOrder.java
@@ -131,15 +131,6 @@
     return Integer.SIZE - 1 - Integer.numberOfLeadingZeros(count);
   }
 
-  /**
-   * Holds the engine's capacity for a request that has waited for a third of its target. Otherwise
-   * the largest requests would never fit while smaller ones arrive.
-   */
-  @Override
-  public boolean holdsCapacity(QueueEntry entry, long nowMillis) {
-    return levels(entry, nowMillis) > 0;
-  }
-
   void recordArrival(QueueEntry entry) {
     runs.recordArrival(entry);
   }
--- a/core/src/main/java/org/lentilhinge/permit/TargetOrder.java
+++ b/core/src/main/java/org/lentilhinge/permit/TargetOrder.java
@@ -24,9 +24,4 @@
   public QueueEntry selectRefused(List<QueueEntry> candidates, QueueEntry added, long nowMillis) {
     return added;
   }
-
-  @Override
-  public boolean holdsCapacity(QueueEntry entry, long nowMillis) {
-    return false;
-  }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestPermit.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RequestPermit.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
 import org.lentilhinge.customer.CallerIdentity;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.ForwardRoute;
@@ -88,7 +89,7 @@
             times.targetMillis(),
             times.remainingMillis(),
             state.limits().find(engine.incarnation()),
-            times.terms(standing(times)));
+            times.terms(standing(identity, route, times.remainingMillis(), state::relativeUse)));
     logRequest(engine, host, request);
     state
         .engineSelector()
@@ -109,8 +110,12 @@
    * Returns the standing of the request's customer. A caller that returns after a refusal states a
    * shorter time until its deadline than the timeout of the route.
    */
-  private Optional<CustomerStanding> standing(Times times) {
-    long elapsedMillis = Math.max(0, route.timeoutMillis() - times.remainingMillis());
+  static Optional<CustomerStanding> standing(
+      CallerIdentity identity,
+      ForwardRoute route,
+      long remainingMillis,
+      ToDoubleFunction<String> relativeUse) {
+    long elapsedMillis = Math.max(0, route.timeoutMillis() - remainingMillis);
     return identity
         .customerName()
         .map(
@@ -118,7 +123,7 @@
                 new CustomerStanding(
                     name,
                     route.priority(),
-                    state.relativeUse(name),
+                    relativeUse.applyAsDouble(name),
                     Math.min(elapsedMillis, route.targetMillis())));
   }
 
