--- a/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
+++ b/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
@@ -102,13 +102,15 @@
       QueueEntry entry = sorted.get(index);
       affected |= entry.equals(added);
       long slotMillis = slotWaitMillis(entry, absent);
-      long waitMillis =
-          Math.max(backlogWaitMillis(tokensAhead, nowMillis), serviceRate.waitMillis(index + 1));
-      if (affected && isUnservable(entry, waitMillis, nowMillis)) {
-        return sorted.subList(0, index + 1);
-      }
-      if (affected && isUnservable(entry, slotMillis, nowMillis)) {
-        return slotCandidates(sorted.subList(0, index + 1));
+      if (affected) {
+        long waitMillis =
+            Math.max(backlogWaitMillis(tokensAhead, nowMillis), serviceRate.waitMillis(index + 1));
+        if (isUnservable(entry, waitMillis, nowMillis)) {
+          return sorted.subList(0, index + 1);
+        }
+        if (isUnservable(entry, slotMillis, nowMillis)) {
+          return slotCandidates(sorted.subList(0, index + 1));
+        }
       }
       tokensAhead += entry.request().promptTokens();
     }
--- a/core/src/main/java/org/lentilhinge/permit/QueueEntry.java
+++ b/core/src/main/java/org/lentilhinge/permit/QueueEntry.java
@@ -71,11 +71,8 @@
 
   /** Returns the longest wait that the sender of a request states, in milliseconds. */
   static long maximumWaitMillis(PermitRequest request) {
-    return request
-        .terms()
-        .map(PermitTerms::maximumWaitMillis)
-        .filter(millis -> millis > 0)
-        .orElse(Long.MAX_VALUE);
+    long statedMillis = request.terms().isPresent() ? request.terms().get().maximumWaitMillis() : 0;
+    return statedMillis > 0 ? statedMillis : Long.MAX_VALUE;
   }
 
   /** Refuses the request; the requesting host should retry after a time in milliseconds. */
--- a/core/src/main/java/org/lentilhinge/permit/RefusalRuns.java
+++ b/core/src/main/java/org/lentilhinge/permit/RefusalRuns.java
@@ -72,6 +72,6 @@
 
   /** Returns whether a request precedes all others. */
   boolean isDue(QueueEntry entry) {
-    return due.contains(entry.key());
+    return !due.isEmpty() && due.contains(entry.key());
   }
 }
--- a/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
+++ b/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
@@ -17,13 +17,20 @@
   /** The number of requests that state a customer. */
   private int standings;
 
+  /** The requests in their order at a time; empty if requests were added or removed since. */
+  private List<QueueEntry> sorted = List.of();
+
+  private long sortedAtMillis;
+
   void add(QueueEntry entry) {
     QueueEntry former = entries.put(entry.key(), entry);
+    sorted = List.of();
     standings += count(entry) - count(former);
     standingOrder.recordArrival(entry);
   }
 
   void remove(String key) {
+    sorted = List.of();
     standings -= count(entries.remove(key));
     standingOrder.remove(key);
   }
@@ -68,7 +75,11 @@
 
   /** Returns the requests in the order in which they are to be served. */
   List<QueueEntry> byUrgency(long nowMillis) {
-    return order().sort(entries.values(), nowMillis);
+    if (sorted.isEmpty() || sortedAtMillis != nowMillis) {
+      sorted = order().sort(entries.values(), nowMillis);
+      sortedAtMillis = nowMillis;
+    }
+    return new ArrayList<>(sorted);
   }
 
   /** Returns the order that applies: a single request that states a customer decides. */
--- a/core/src/main/java/org/lentilhinge/permit/StandingOrder.java
+++ b/core/src/main/java/org/lentilhinge/permit/StandingOrder.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * The order of requests whose customers are declared: by priority, with aging, then by the recent
@@ -24,16 +23,13 @@
    */
   private static final double USE_STEP = 0.5;
 
+  private static final long MEAN_STEP = Math.round(1 / USE_STEP);
+
   /** The step of uses above which a customer is above its share: a use of 1.5 or more. */
   private static final long ABOVE_SHARE_STEP = 3;
 
-  private static final Comparator<Ranked> BY_URGENCY =
-      Comparator.comparingInt(Ranked::group)
-          .thenComparingInt(Ranked::priority)
-          .thenComparingInt(Ranked::routePriority);
-
-  private static final Comparator<Ranked> SORT =
-      BY_URGENCY.thenComparingLong(Ranked::useStep).thenComparingLong(Ranked::orderAtMillis);
+  private static final Comparator<Ranked> BY_URGENCY = StandingOrder::compareUrgency;
+  private static final Comparator<Ranked> SORT = StandingOrder::compare;
 
   private final RefusalRuns runs = new RefusalRuns();
 
@@ -54,18 +50,41 @@
       long useStep,
       long orderAtMillis) {}
 
+  private static int compareUrgency(Ranked first, Ranked second) {
+    if (first.group != second.group) {
+      return Integer.compare(first.group, second.group);
+    }
+    return first.priority != second.priority
+        ? Integer.compare(first.priority, second.priority)
+        : Integer.compare(first.routePriority, second.routePriority);
+  }
+
+  private static int compare(Ranked first, Ranked second) {
+    int urgency = compareUrgency(first, second);
+    if (urgency != 0) {
+      return urgency;
+    }
+    return first.useStep != second.useStep
+        ? Long.compare(first.useStep, second.useStep)
+        : Long.compare(first.orderAtMillis, second.orderAtMillis);
+  }
+
   private Ranked rank(QueueEntry entry, long nowMillis) {
     int group = runs.isDue(entry) ? 0 : entry.canMeetTarget(nowMillis) ? 1 : 2;
     int levels = levels(entry, nowMillis);
     int priority = entry.request().priority();
-    Optional<CustomerStanding> standing = entry.standing();
+    CustomerStanding standing = entry.standing().orElse(null);
+    if (standing == null) {
+      return new Ranked(
+          entry, group, priority - levels, priority - levels, MEAN_STEP, entry.targetAtMillis());
+    }
     return new Ranked(
         entry,
         group,
         priority - levels,
-        standing.map(CustomerStanding::routePriority).orElse(priority) - levels,
-        Math.round(standing.map(CustomerStanding::relativeUse).orElse(1.0) / USE_STEP),
-        entry.targetAtMillis() - standing.map(CustomerStanding::elapsedMillis).orElse(0L));
+        standing.routePriority() - levels,
+        Math.round(standing.relativeUse() / USE_STEP),
+        entry.targetAtMillis() - standing.elapsedMillis());
   }
 
   private static int levels(QueueEntry entry, long nowMillis) {
