--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostState.java
@@ -156,6 +156,11 @@
     return quotas;
   }
 
+  /** Returns the recent use of a customer in proportion to its share; the mean is 1. */
+  double relativeUse(String customer) {
+    return quotas.accounts().relativeUse(customer, context.now());
+  }
+
   ForwardLimits forwardLimits() {
     return configuration.map(ForwardConfiguration::limits).orElse(ForwardLimits.DEFAULT);
   }
