Treat responses with an invalid status as failed

Netty's decoder accepts any number as a status, also 000, 600 and, as 200, 0200 and +200. Callers received such responses, and the host's own calls took them for answered. The status line now needs three digits from 100 to 599; otherwise the attempt fails (invalid-status) and the connection is closed.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -44,6 +44,9 @@
   /** The bytes of framing for each byte of a body; a chunk of one byte has six. */
   private static final int FRAMING_PER_BODY_BYTE = 16;
 
+  /** The failure of a response whose status is not a number from 100 to 599 of three digits. */
+  private static final String INVALID_STATUS = "invalid-status";
+
   private static final String NOT_HTTP = "not-http";
   private static final int MAXIMUM_HEADER_BYTES = 65_536;
 
@@ -215,8 +218,7 @@
       if (!(message instanceof HttpObject part)) {
         fail(NOT_HTTP);
       } else if (!part.decoderResult().isSuccess()) {
-        boolean tooLong = part.decoderResult().cause() instanceof TooLongFrameException;
-        fail(tooLong ? HEAD_TOO_LONG : NOT_HTTP);
+        fail(decodingFailure(part.decoderResult().cause()));
       } else if (handler.isEmpty()) {
         // No request is in flight: these bytes could be taken for the response to the next request.
         close();
@@ -228,6 +230,13 @@
     }
   }
 
+  private static String decodingFailure(Throwable cause) {
+    if (cause instanceof EndpointResponseDecoder.InvalidStatusException) {
+      return INVALID_STATUS;
+    }
+    return cause instanceof TooLongFrameException ? HEAD_TOO_LONG : NOT_HTTP;
+  }
+
   private void onPart(HttpObject part) {
     if (part instanceof HttpResponse response) {
       begin(response);
