Treat an invalid status of an engine's stream as a broken response

Vert.x accepts any number as a status. 000, 150, 600 or 2000 counted as an error that the engine itself had reported.

--- a/runtime/src/main/java/org/lentilhinge/runtime/engine/EngineStreamSubscription.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/engine/EngineStreamSubscription.java
@@ -12,6 +12,7 @@
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.parsetools.RecordParser;
 import java.util.function.BooleanSupplier;
+import org.lentilhinge.runtime.http.ResponseStatus;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
 
@@ -108,6 +109,12 @@
     if (finished) {
       return;
     }
+    if (!ResponseStatus.isFinal(response.statusCode())) {
+      // Without a handler Vert.x logs the reset.
+      response.exceptionHandler(unused -> {});
+      fail(EngineFailure.BROKEN, "invalid status " + response.statusCode());
+      return;
+    }
     if (response.statusCode() != STATUS_OK) {
       BoundedBody.read(response, EngineTransport.MAXIMUM_BODY_BYTES)
           .onComplete(
