--- a/runtime/src/main/java/org/lentilhinge/runtime/service/ServiceExchange.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/service/ServiceExchange.java
@@ -12,6 +12,7 @@
 import io.vertx.rxjava3.SingleHelper;
 import java.util.function.BooleanSupplier;
 import org.lentilhinge.runtime.engine.Addresses;
+import org.lentilhinge.runtime.http.ResponseStatus;
 
 /**
  * Executes one attempt. The flag {@code written} is set before the first byte can be sent; from
@@ -77,6 +78,11 @@
   }
 
   private Future<ServiceAttemptResult> read(HttpClientResponse response) {
+    if (!ResponseStatus.isFinal(response.statusCode())) {
+      // Without a handler Vert.x logs the reset.
+      response.exceptionHandler(unused -> {});
+      return Future.succeededFuture(abandon("invalid status " + response.statusCode()));
+    }
     Buffer body = Buffer.buffer();
     response.handler(
         chunk -> {
