Refuse replies of engines and the platform with an invalid status

BoundedBody reads the bodies of both. An invalid status of an engine's reply counted as the engine's own error, and the connection was kept.

--- a/runtime/src/main/java/org/lentilhinge/runtime/engine/BoundedBody.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/engine/BoundedBody.java
@@ -4,8 +4,9 @@
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
+import org.lentilhinge.runtime.http.ResponseStatus;
 
-/** Reads the body of a response up to a maximum length. */
+/** Reads the body of a response with a valid status up to a maximum length. */
 public final class BoundedBody {
 
   private BoundedBody() {}
@@ -13,11 +14,18 @@
   /**
    * Reads a body. Must be called on the event loop of the response, before it can have ended.
    *
-   * @param response the response; its connection is closed if the body is too long
+   * @param response the response; its connection is closed if its status is invalid or the body is
+   *     too long
    * @param maximumBytes the maximum length, in bytes
-   * @return the complete body; fails if it is too long or incomplete
+   * @return the complete body; fails if the status is invalid, or the body too long or incomplete
    */
   public static Future<Buffer> read(HttpClientResponse response, int maximumBytes) {
+    if (!ResponseStatus.isFinal(response.statusCode())) {
+      // Without a handler Vert.x logs the reset.
+      response.exceptionHandler(unused -> {});
+      response.request().reset();
+      return Future.failedFuture("invalid status " + response.statusCode());
+    }
     Promise<Buffer> promise = Promise.promise();
     Buffer body = Buffer.buffer();
     response.handler(
