Bound the bytes of request bodies and read on for slow callers

Request bodies were bounded one by one only, and a slow caller stopped the reading of its response after 64 KB, so that endpoints aborted responses. Bodies now have a bound for the host and one for each endpoint; responses are read on up to a bound for each caller and one for all slow callers. A caller that accepts nothing for the idle timeout loses its connection.

--- a/core/src/main/java/org/lentilhinge/dispatch/SendObstacle.java
+++ b/core/src/main/java/org/lentilhinge/dispatch/SendObstacle.java
@@ -9,7 +9,9 @@
   /** This host has no path to any endpoint. */
   NO_PATH("no-path"),
   /** The endpoint runs another version of the software than the stream has begun on. */
-  OTHER_VERSION("other-version");
+  OTHER_VERSION("other-version"),
+  /** The endpoint has not read the bodies of former requests of this host. */
+  BODIES_UNREAD("endpoint-bodies");
 
   private final String reason;
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/AttemptTarget.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/AttemptTarget.java
@@ -29,6 +29,9 @@
   /** Records that the request was sent. */
   void recordSent();
 
+  /** Records that the whole request was passed to the operating system. */
+  void recordWritten();
+
   /** Records the head of the response. */
   void recordHead(int status, ResponseMetadata head, HttpHeaders headers);
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -26,6 +27,8 @@
 import java.util.Deque;
 import java.util.Optional;
 import org.lentilhinge.forward.ForwardLimits;
+import org.lentilhinge.runtime.memory.BodyMemory;
+import org.lentilhinge.runtime.memory.SlowCallers;
 
 /**
  * The connection of a caller. Requests are handled one after the other, and each is read completely
@@ -36,25 +39,38 @@
   /** The maximum number of pipelined requests; another request closes the connection. */
   private static final int MAXIMUM_PIPELINED = 16;
 
+  /**
+   * The time for which the rest of a refused body is read, in milliseconds: callers that are slower
+   * lose the refusal to a reset.
+   */
+  private static final long DISCARD_MILLIS = 2_000;
+
   private final NetSocketInternal socket;
   private final CallerServer server;
   private final ForwardLimits limits;
   private final Deque<CallerExchange> pipelined = new ArrayDeque<>();
   private Optional<HttpRequest> incomingRequest = Optional.empty();
   private ByteBuf body = Unpooled.EMPTY_BUFFER;
+  private BodyMemory.Share bodyShare;
+  private Optional<CallerExchange> refused = Optional.empty();
   private Optional<CallerExchange> currentExchange = Optional.empty();
   private final ResponseMemory.Share unsent;
+  private final SlowCallers.Output output;
   private long unsentBytes;
   private boolean open = true;
   private boolean closing;
   private boolean rejecting;
+  private boolean discarding;
   private long lastActivityAtMillis;
+  private long discardUntilMillis;
 
   CallerConnection(NetSocket socket, CallerServer server, ForwardLimits limits, long nowMillis) {
     this.socket = (NetSocketInternal) socket;
     this.server = server;
     this.limits = limits;
-    this.unsent = server.openShare(this::abort);
+    this.bodyShare = server.memory().requestBodies().open();
+    this.unsent = server.memory().responses().open(() -> abort("memory-full"));
+    this.output = server.memory().slowCallers().open(new Progress(), limits.idleTimeoutMillis());
     this.lastActivityAtMillis = nowMillis;
     HttpDecoderConfig config =
         new HttpDecoderConfig()
@@ -77,6 +93,9 @@
   private void onMessage(Object message) {
     try {
       if (rejecting || !(message instanceof HttpObject part)) {
+        if (discarding && message instanceof LastHttpContent) {
+          onDiscarded();
+        }
         return;
       }
       if (!part.decoderResult().isSuccess()) {
@@ -109,7 +128,10 @@
     } else {
       incomingRequest = Optional.of(request);
       body = Unpooled.buffer();
-      if (HttpUtil.is100ContinueExpected(request)) {
+      boolean expectsContinue = HttpUtil.is100ContinueExpected(request);
+      if (!server.memory().requestBodies().hasRoom(HttpUtil.getContentLength(request, 0L))) {
+        refuseBody(!expectsContinue);
+      } else if (expectsContinue) {
         write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
       }
     }
@@ -120,11 +142,16 @@
       reject(413, "request body too large");
       return;
     }
+    if (!bodyShare.tryGrow(capacity(body.readableBytes() + content.content().readableBytes()))) {
+      refuseBody(!(content instanceof LastHttpContent));
+      return;
+    }
     body.writeBytes(content.content());
     if (content instanceof LastHttpContent) {
       HttpRequest request = incomingRequest.orElseThrow();
       incomingRequest = Optional.empty();
-      pipelined.add(new CallerExchange(this, request, body));
+      pipelined.add(new CallerExchange(this, request, body, bodyShare));
+      bodyShare = server.memory().requestBodies().open();
       if (pipelined.size() > MAXIMUM_PIPELINED) {
         close();
       } else {
@@ -133,12 +160,51 @@
     }
   }
 
+  /** Returns the bytes that the buffer of the body takes with a length. */
+  private int capacity(int length) {
+    return length <= body.capacity()
+        ? body.capacity()
+        : body.alloc().calculateNewCapacity(length, body.maxCapacity());
+  }
+
+  /**
+   * Refuses the incoming request without its body, in its turn.
+   *
+   * @param incomplete whether the caller still sends the body
+   */
+  private void refuseBody(boolean incomplete) {
+    rejecting = true;
+    // The rest is read and dropped, as a reset would take the response from the caller.
+    discarding = incomplete;
+    bodyShare.release();
+    body = Unpooled.EMPTY_BUFFER;
+    CallerExchange exchange =
+        new CallerExchange(this, incomingRequest.orElseThrow(), body, bodyShare);
+    incomingRequest = Optional.empty();
+    refused = Optional.of(exchange);
+    pipelined.add(exchange);
+    startNext();
+  }
+
   private void startNext() {
     if (currentExchange.isEmpty() && !pipelined.isEmpty() && open) {
       CallerExchange next = pipelined.remove();
       currentExchange = Optional.of(next);
-      closing |= !HttpUtil.isKeepAlive(next.request());
-      server.startRequest(next);
+      boolean last = refused.filter(next::equals).isPresent();
+      closing |= last || !HttpUtil.isKeepAlive(next.request());
+      if (last) {
+        server.refuseBody(next);
+      } else {
+        server.startRequest(next);
+      }
+    }
+  }
+
+  /** Handles that the rest of a refused body was read. */
+  private void onDiscarded() {
+    discarding = false;
+    if (open && closing && currentExchange.isEmpty()) {
+      closeAfterResponse();
     }
   }
 
@@ -150,7 +216,8 @@
             this,
             incomingRequest.orElseGet(
                 () -> new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")),
-            Unpooled.EMPTY_BUFFER);
+            Unpooled.EMPTY_BUFFER,
+            bodyShare);
     if (currentExchange.isEmpty()) {
       currentExchange = Optional.of(rejected);
       server.onRequestRejected(status, reason);
@@ -184,23 +251,46 @@
 
   private void recordUnsent(int bytes) {
     unsentBytes += bytes;
+    output.resize(unsentBytes, server.now());
     unsent.resize(unsentBytes);
   }
 
+  /** Tells how far the caller accepts what was written. */
+  private final class Progress implements SlowCallers.Connection {
+
+    @Override
+    public boolean isQueueFull() {
+      return socket.writeQueueFull();
+    }
+
+    @Override
+    public long progress() {
+      ChannelOutboundBuffer buffer =
+          socket.channelHandlerContext().channel().unsafe().outboundBuffer();
+      return buffer == null ? 0 : buffer.currentProgress();
+    }
+
+    @Override
+    public void onStalled() {
+      server.memory().recordStalledCaller();
+      abort("caller-stalled");
+    }
+  }
+
   /** Closes the connection without waiting for the caller to accept what was written. */
-  private void abort() {
-    server.onResponseCut();
+  private void abort(String reason) {
+    server.onResponseCut(reason);
     socket.channelHandlerContext().close();
     onClosed();
   }
 
   boolean isCongested() {
-    return socket.writeQueueFull();
+    return output.isCongested();
   }
 
-  /** Runs a task once most of what was written was sent; a later task replaces it. */
+  /** Runs a task once the caller has accepted enough; a later task replaces it. */
   void onUncongested(Runnable task) {
-    socket.drainHandler(unused -> task.run());
+    output.onUncongested(task);
   }
 
   void onResponseFinished() {
@@ -210,18 +300,30 @@
     lastActivityAtMillis = server.now();
     server.onRequestFinished();
     currentExchange = Optional.empty();
-    if (closing || server.isStopping()) {
-      open = false;
-      // The socket is closed after the data written before has been sent.
-      server.onConnectionClosing(socket.close());
-      server.onConnectionClosed(this);
+    if (closing && discarding) {
+      discardUntilMillis = lastActivityAtMillis + DISCARD_MILLIS;
+    } else if (closing || server.isStopping()) {
+      closeAfterResponse();
     } else {
       startNext();
     }
   }
 
+  private void closeAfterResponse() {
+    open = false;
+    // The socket is closed after the data written before has been sent.
+    server.onConnectionClosing(socket.close());
+    server.onConnectionClosed(this);
+  }
+
   /** Closes the connection if no request is in progress and no data has arrived for too long. */
   void closeIfExpired(long nowMillis) {
+    if (discarding && currentExchange.isEmpty()) {
+      if (nowMillis > discardUntilMillis) {
+        close();
+      }
+      return;
+    }
     boolean readingRequest = incomingRequest.isPresent();
     long maximumIdleMillis =
         readingRequest
@@ -255,6 +357,10 @@
       return;
     }
     open = false;
+    output.close();
+    bodyShare.release();
+    pipelined.forEach(CallerExchange::handleDisconnect);
+    pipelined.clear();
     server.onConnectionClosed(this);
     Optional<CallerExchange> aborted = currentExchange;
     currentExchange = Optional.empty();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerExchange.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerExchange.java
@@ -18,6 +18,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Optional;
+import org.lentilhinge.runtime.memory.BodyMemory;
 
 /** A complete request of a caller and its response. At most one response is written. */
 public final class CallerExchange {
@@ -25,11 +26,14 @@
   private final CallerConnection connection;
   private final HttpRequest request;
   private final ByteBuf body;
+  private final BodyMemory.Share bodyShare;
   private Optional<Runnable> disconnectListener = Optional.empty();
   private boolean responseStarted;
   private boolean finished;
 
-  CallerExchange(CallerConnection connection, HttpRequest request, ByteBuf body) {
+  CallerExchange(
+      CallerConnection connection, HttpRequest request, ByteBuf body, BodyMemory.Share bodyShare) {
+    this.bodyShare = bodyShare;
     this.connection = connection;
     this.request = request;
     this.body = body;
@@ -59,11 +63,17 @@
 
   void handleDisconnect() {
     if (!finished) {
-      finished = true;
+      finish();
       disconnectListener.ifPresent(Runnable::run);
     }
   }
 
+  /** Records that no attempt uses the body any more. */
+  private void finish() {
+    finished = true;
+    bodyShare.release();
+  }
+
   /** Indicates whether another host sent the request in place of a caller. */
   boolean isRelayed() {
     return request.headers().contains(HostRelay.HEADER);
@@ -111,7 +121,7 @@
   /** Completes a response that has begun. */
   void end() {
     if (!finished) {
-      finished = true;
+      finish();
       connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
       connection.onResponseFinished();
     }
@@ -120,7 +130,7 @@
   /** Aborts a response by closing the connection, so that it cannot be taken for complete. */
   void abort() {
     if (!finished) {
-      finished = true;
+      finish();
       connection.close();
     }
   }
@@ -139,7 +149,7 @@
       return;
     }
     responseStarted = true;
-    finished = true;
+    finish();
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
     response.headers().set(headers);
     response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerServer.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerServer.java
@@ -20,12 +20,18 @@
   private static final int ACCEPT_BACKLOG = 1_024;
   private static final int NO_STATUS = 0;
 
+  /**
+   * The retry delay for a request whose body has no room, in milliseconds: a body of the largest
+   * size in use takes less time at the bandwidth between regions when little else is sent.
+   */
+  private static final long BODY_RETRY_MILLIS = 1_000;
+
   private final NetServer server;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private final Consumer<CallerExchange> handler;
   private final BiConsumer<Integer, String> rejectionListener;
   private final LongSupplier clock;
-  private final ResponseMemory memory;
+  private final HostMemory memory;
   private boolean stopping;
   private int requestsInFlight;
   private int closingConnections;
@@ -37,16 +43,17 @@
    * @param address the IP address and port to listen on
    * @param limits supplies the limits that apply to a new connection
    * @param clock the monotonic clock, in milliseconds
-   * @param memory bounds the bytes of responses that callers have not accepted yet
+   * @param memory bounds the bytes of request bodies, and of responses that callers have not
+   *     accepted yet
    * @param handler receives each complete request
    * @param rejectionListener receives status and reason of each request rejected as malformed
    */
-  public CallerServer(
+  CallerServer(
       Vertx vertx,
       String address,
       Supplier<ForwardLimits> limits,
       LongSupplier clock,
-      ResponseMemory memory,
+      HostMemory memory,
       Consumer<CallerExchange> handler,
       BiConsumer<Integer, String> rejectionListener) {
     this.handler = handler;
@@ -77,9 +84,8 @@
     return server.listen().map(NetServer::actualPort);
   }
 
-  /** Returns a share of the bytes of responses that callers have not accepted yet. */
-  ResponseMemory.Share openShare(Runnable exhaustedHandler) {
-    return memory.open(exhaustedHandler);
+  HostMemory memory() {
+    return memory;
   }
 
   long now() {
@@ -128,14 +134,21 @@
     requestsInFlight = Math.max(0, requestsInFlight - 1);
   }
 
+  /** Refuses a request whose body was not read, as request bodies take too much memory. */
+  void refuseBody(CallerExchange exchange) {
+    requestsInFlight++;
+    memory.recordRefusedBody(exchange.request());
+    exchange.refuseForNow(BODY_RETRY_MILLIS, HostMemory.REQUEST_BODIES);
+  }
+
   void onRequestRejected(int status, String reason) {
     requestsInFlight++;
     rejectionListener.accept(status, reason);
   }
 
-  /** Records that a response was cut because the memory for responses is full. */
-  void onResponseCut() {
-    rejectionListener.accept(NO_STATUS, "memory-full");
+  /** Records that a response was cut because its caller did not accept it. */
+  void onResponseCut(String reason) {
+    rejectionListener.accept(NO_STATUS, reason);
   }
 
   void onConnectionClosed(CallerConnection connection) {
@@ -146,6 +159,7 @@
   public void closeExpiredConnections() {
     long now = clock.getAsLong();
     List.copyOf(connections).forEach(connection -> connection.closeIfExpired(now));
+    memory.slowCallers().closeStalled(now);
   }
 
   /** Makes each subsequent response the last one on its connection. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -215,6 +215,13 @@
     }
   }
 
+  @Override
+  public void onWritten() {
+    if (!finished) {
+      target.recordWritten();
+    }
+  }
+
   @Override
   public void onHead(HttpResponse httpResponse) {
     response = Optional.of(httpResponse);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
@@ -145,6 +145,9 @@
     if (sendCheck.isRestricted() && usable().isEmpty()) {
       return "no-endpoint-of-version";
     }
+    if (sendCheck.isBodyRefused() && usable().isEmpty()) {
+      return SendObstacle.BODIES_UNREAD.reason();
+    }
     if (isEngineService() && isOutOfPermitRequests()) {
       return "no-room";
     }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointConnection.java
@@ -209,6 +209,8 @@
               written = result.succeeded();
               if (result.failed()) {
                 fail("write-failed");
+              } else {
+                responseHandler.onWritten();
               }
             });
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointTarget.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointTarget.java
@@ -79,9 +79,15 @@
   @Override
   public void recordSent() {
     sent = true;
+    sendCheck.recordBodySent(endpoint);
     forwarder.paths().recordRequest(endpoint);
   }
 
+  @Override
+  public void recordWritten() {
+    sendCheck.recordBodyEnd();
+  }
+
   @Override
   public void recordHead(int status, ResponseMetadata head, HttpHeaders headers) {
     responded = true;
@@ -144,6 +150,7 @@
   public void recordEnd(AttemptOutcome outcome, String reason, int status) {
     String incarnation = endpoint.incarnation();
     long now = context.now();
+    sendCheck.recordBodyEnd();
     if (sent) {
       boolean broken = !responded && EndpointAttempt.CONNECTION_ENDED.contains(reason);
       forwarder.paths().recordRequestEnd(endpoint, broken);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -230,7 +230,7 @@
             limits,
             departures,
             streamOrigins,
-            connections.responseMemory()));
+            connections.memory()));
   }
 
   private PeerNetwork createPeerNetwork(Scheduler scheduler, long incarnation, Random random) {
@@ -266,7 +266,7 @@
         address,
         state::forwardLimits,
         context.clock(),
-        connections.responseMemory(),
+        connections.memory(),
         handler,
         (status, reason) -> context.log().line("refuse", "status", status, "why", reason));
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardedRequest.java
@@ -87,6 +87,7 @@
     this.continuation =
         new StreamContinuation(context, forwarder.streamOrigins(), requestMetadata, route, service);
     this.choice = new EndpointChoice(state, context, service, requestMetadata);
+    choice.sendCheck().limitBody(forwarder.memory().openBody(exchange));
     this.permit =
         new RequestPermit(forwarder, requestMetadata, identity.priority(route.priority()), log);
     this.keptFailure = new KeptFailure(context, forwarder.responseMemory());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -55,7 +55,7 @@
    * @param limits learns the request limits of endpoints
    * @param departures learns which endpoints leave
    * @param streamOrigins finds the software versions of streams
-   * @param responseMemory bounds the bytes of responses that are held
+   * @param memory bounds the bytes that are held
    */
   record Parts(
       HeaderTranslator headerTranslator,
@@ -67,7 +67,7 @@
       EndpointLimitRunner limits,
       EndpointDepartureRunner departures,
       StreamOriginExchange streamOrigins,
-      ResponseMemory responseMemory) {}
+      HostMemory memory) {}
 
   Forwarder(HostContext context, HostState state, Parts parts) {
     this.context = context;
@@ -121,7 +121,11 @@
   }
 
   ResponseMemory responseMemory() {
-    return parts.responseMemory();
+    return parts.memory().responses();
+  }
+
+  HostMemory memory() {
+    return parts.memory();
   }
 
   void count(String name) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostConnections.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostConnections.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.runtime.forward;
 
 import java.util.List;
+import org.lentilhinge.runtime.memory.MemoryBounds;
 
 /**
  * The connections of a host, apart by what they carry: a response that is repeated late can only be
@@ -11,7 +12,7 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
   private final HostContext context;
-  private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
+  private final HostMemory memory;
   private final EndpointPool requestPool;
   private final EndpointPool orderPool;
   private final EndpointPool reportPool;
@@ -19,6 +20,7 @@
 
   HostConnections(HostContext context, HeaderTranslator headerTranslator) {
     this.context = context;
+    memory = new HostMemory(context, headerTranslator, MemoryBounds.ofHeap());
     requestPool = createPool("requests", new NamedResponseMatcher(headerTranslator));
     orderPool = createPool("orders", new OrderedResponseMatcher());
     reportPool = createPool("reports", new OrderedResponseMatcher());
@@ -36,12 +38,12 @@
   }
 
   private ControlHttpClient createClient(EndpointPool pool) {
-    return new ControlHttpClient(context.vertx(), pool, context.clock(), responseMemory);
+    return new ControlHttpClient(context.vertx(), pool, context.clock(), memory.responses());
   }
 
-  /** Returns the bound of the bytes of responses that all connections hold together. */
-  ResponseMemory responseMemory() {
-    return responseMemory;
+  /** Returns the bounds of the bytes that all connections hold together. */
+  HostMemory memory() {
+    return memory;
   }
 
   /** Returns the pool of the connections for the requests of callers. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/RelayTarget.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/RelayTarget.java
@@ -53,6 +53,9 @@
   @Override
   public void recordSent() {}
 
+  @Override
+  public void recordWritten() {}
+
   @Override
   public void recordHead(int status, ResponseMetadata head, HttpHeaders headers) {
     unavailable = headers.contains(HostRelay.UNAVAILABLE_HEADER);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseHandler.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseHandler.java
@@ -9,6 +9,9 @@
  */
 interface ResponseHandler {
 
+  /** Handles that the whole request was passed to the operating system. */
+  default void onWritten() {}
+
   /** Handles the status and headers of the response. */
   void onHead(HttpResponse response);
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseMemory.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseMemory.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongConsumer;
 
 /**
  * Bounds the bytes of responses that a host holds, of all connections together: each may be within
@@ -16,6 +17,7 @@
   private static final int HEAP_PARTS = 4;
 
   private final long maximumBytes;
+  private final LongConsumer endListener;
   private final Set<Share> shares = new LinkedHashSet<>();
   private long heldBytes;
 
@@ -25,7 +27,18 @@
    * @param maximumBytes the maximum of the sum, in bytes
    */
   ResponseMemory(long maximumBytes) {
+    this(maximumBytes, bytes -> {});
+  }
+
+  /**
+   * Creates an empty memory.
+   *
+   * @param maximumBytes the maximum of the sum, in bytes
+   * @param endListener receives the sum each time before the largest holder ends
+   */
+  ResponseMemory(long maximumBytes, LongConsumer endListener) {
     this.maximumBytes = maximumBytes;
+    this.endListener = endListener;
   }
 
   /** Returns a memory in proportion to the heap of this process. */
@@ -91,6 +104,7 @@
   }
 
   private void endLargest() {
+    endListener.accept(heldBytes);
     Optional<Share> largest =
         shares.stream().max(Comparator.comparingLong((Share share) -> share.bytes));
     largest.ifPresent(Share::end);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/SendCheck.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/SendCheck.java
@@ -4,6 +4,7 @@
 import org.lentilhinge.dispatch.SendCondition;
 import org.lentilhinge.dispatch.SendObstacle;
 import org.lentilhinge.fleet.FleetEndpoint;
+import org.lentilhinge.runtime.memory.EndpointBodies;
 
 /**
  * Decides whether one request may be sent to an endpoint now. Applies when an endpoint is chosen,
@@ -14,6 +15,7 @@
   private final HostState state;
   private final HostContext context;
   private Optional<String> softwareVersion = Optional.empty();
+  private Optional<EndpointBodies.Body> body = Optional.empty();
 
   SendCheck(HostState state, HostContext context) {
     this.state = state;
@@ -25,6 +27,26 @@
     softwareVersion = Optional.of(version);
   }
 
+  /** Restricts the request to endpoints with room for its body. */
+  void limitBody(EndpointBodies.Body requestBody) {
+    body = Optional.of(requestBody);
+  }
+
+  /** Indicates whether an endpoint was passed over because it has no room for the body. */
+  boolean isBodyRefused() {
+    return body.filter(EndpointBodies.Body::isRefused).isPresent();
+  }
+
+  /** Records that the body is being sent to an endpoint. */
+  void recordBodySent(FleetEndpoint endpoint) {
+    body.ifPresent(sent -> sent.begin(endpoint.incarnation()));
+  }
+
+  /** Records that an endpoint has accepted the body, or that the attempt has ended. */
+  void recordBodyEnd() {
+    body.ifPresent(EndpointBodies.Body::end);
+  }
+
   boolean isRestricted() {
     return softwareVersion.isPresent();
   }
@@ -42,6 +64,7 @@
         return obstacle;
       }
     }
-    return Optional.empty();
+    boolean room = body.map(sent -> sent.hasRoom(endpoint.incarnation())).orElse(true);
+    return room ? Optional.empty() : Optional.of(SendObstacle.BODIES_UNREAD);
   }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -41,6 +41,7 @@
 import org.lentilhinge.permit.PermitReturn;
 import org.lentilhinge.quarantine.RequestQuarantine;
 import org.lentilhinge.resume.StreamOriginExchange;
+import org.lentilhinge.runtime.memory.MemoryBounds;
 
 /** A server for callers and a forwarder on real sockets, with scripted endpoints. */
 final class ForwardFixture implements AutoCloseable {
@@ -64,18 +65,31 @@
   private final EndpointDepartureRunner departures;
   private final QuarantineRunner quarantine;
   private final Forwarder forwarder;
-  private final ResponseMemory responseMemory = new ResponseMemory(MAXIMUM_HELD_BYTES);
+  private final HostMemory memory;
   private final AtomicLong advancedMillis = new AtomicLong();
   private volatile Runnable beforePermitAnswer = () -> {};
   private volatile Optional<Runnable> afterNextRequest = Optional.empty();
 
+  /** Bounds that only a test of them reaches. */
+  static final MemoryBounds BOUNDS =
+      new MemoryBounds(MAXIMUM_HELD_BYTES, 4_194_304, 1_048_576, 4_194_304, 524_288);
+
   ForwardFixture(Vertx vertx, List<String> endpoints) {
-    this(vertx);
+    this(vertx, endpoints, BOUNDS);
+  }
+
+  /** Starts a host with bounds of the bytes that it holds. */
+  ForwardFixture(Vertx vertx, List<String> endpoints, MemoryBounds bounds) {
+    this(vertx, bounds);
     readStore(endpoints);
   }
 
   /** Starts a host without a configuration and endpoints. */
   ForwardFixture(Vertx vertx) {
+    this(vertx, BOUNDS);
+  }
+
+  private ForwardFixture(Vertx vertx, MemoryBounds bounds) {
     this.vertx = vertx;
     context =
         new HostContext(
@@ -84,6 +98,7 @@
             () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) + advancedMillis.get(),
             new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
             new MetricRegistry());
+    memory = new HostMemory(context, new PlainHeaderTranslator(), bounds);
     state = new HostState(context, overlay(settings()));
     EndpointPool pool = createPool();
     RelaySelector relays = new RelaySelector(new HostRecord("10.0.0.1", "a", "north", 1, 1, false));
@@ -114,7 +129,7 @@
                 limits,
                 departures,
                 streamOrigins,
-                responseMemory));
+                memory));
     CompletableFuture<CallerServer> created = new CompletableFuture<>();
     loop = vertx.getOrCreateContext();
     CompletableFuture<Integer> listening = new CompletableFuture<>();
@@ -181,7 +196,7 @@
         "127.0.0.1:0",
         state::forwardLimits,
         context.clock(),
-        responseMemory,
+        memory,
         this::accept,
         (status, reason) -> {});
   }
@@ -376,6 +391,25 @@
         + body;
   }
 
+  /** Returns the value of a counter of the host. */
+  long count(String name) {
+    return context.metrics().counter(name).getCount();
+  }
+
+  /** Returns the value of a gauge of the bytes that the host holds. */
+  long heldBytes(String kind) {
+    CompletableFuture<Long> value = new CompletableFuture<>();
+    String name = MetricRegistry.name(HostMemory.METRICS, kind);
+    loop.runOnContext(
+        unused -> value.complete((Long) context.metrics().getGauges().get(name).getValue()));
+    return value.join();
+  }
+
+  /** Closes the connections of callers that are idle or read nothing, as a host does regularly. */
+  void closeExpiredConnections() {
+    onLoop(callerServer::closeExpiredConnections);
+  }
+
   /** Returns the number of responses of an endpoint that were given up as too long. */
   long oversizedResponses(String endpoint) {
     String name = MetricRegistry.name(Forwarder.OVERSIZED_RESPONSES, endpoint);
