--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -162,6 +162,9 @@
 
   /** Returns the bytes that the buffer of the body takes with a length. */
   private int capacity(int length) {
+    if (length == 0) {
+      return 0;
+    }
     return length <= body.capacity()
         ? body.capacity()
         : body.alloc().calculateNewCapacity(length, body.maxCapacity());
@@ -258,11 +261,6 @@
   /** Tells how far the caller accepts what was written. */
   private final class Progress implements SlowCallers.Connection {
 
-    @Override
-    public boolean isQueueFull() {
-      return socket.writeQueueFull();
-    }
-
     @Override
     public long progress() {
       ChannelOutboundBuffer buffer =
--- a/runtime/src/main/java/org/lentilhinge/runtime/memory/BodyMemory.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/memory/BodyMemory.java
@@ -44,7 +44,7 @@
    * @return whether the sum stays within the bound
    */
   public boolean hasRoom(long bytes) {
-    return heldBytes == 0 || heldBytes + bytes <= maximumBytes;
+    return bytes == 0 || heldBytes == 0 || heldBytes + bytes <= maximumBytes;
   }
 
   /**
@@ -71,7 +71,7 @@
      */
     public boolean tryGrow(long newBytes) {
       boolean alone = heldBytes == bytes;
-      if (!alone && heldBytes - bytes + newBytes > maximumBytes) {
+      if (newBytes > bytes && !alone && heldBytes - bytes + newBytes > maximumBytes) {
         return false;
       }
       heldBytes += newBytes - bytes;
--- a/runtime/src/main/java/org/lentilhinge/runtime/memory/SlowCallers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/memory/SlowCallers.java
@@ -18,6 +18,12 @@
    */
   private static final long RESUME_BYTES = 65_536;
 
+  /**
+   * The bytes that each caller may always hold: otherwise callers that accept everything at once
+   * would wait for others, once these exceed the bound of all callers.
+   */
+  private static final long QUEUE_BYTES = 65_536;
+
   private final long maximumBytes;
   private final long maximumCallerBytes;
   private final Set<Output> holding = new LinkedHashSet<>();
@@ -38,13 +44,6 @@
   /** The connection of a caller. */
   public interface Connection {
 
-    /**
-     * Indicates whether the connection accepts no further data for now.
-     *
-     * @return whether its own queue is full
-     */
-    boolean isQueueFull();
-
     /**
      * Returns how much of the data that is sent next was accepted.
      *
@@ -139,7 +138,7 @@
      * @return whether a bound is exceeded
      */
     public boolean isCongested() {
-      return bytes > maximumCallerBytes || heldBytes > maximumBytes && connection.isQueueFull();
+      return bytes > maximumCallerBytes || heldBytes > maximumBytes && bytes > QUEUE_BYTES;
     }
 
     /**
