Release the bodies of requests that are not started

A connection that closes after its response kept counting the bodies of pipelined requests and of a request that was still arriving. The log line of ended responses now has the id of the request.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -45,6 +45,9 @@
    */
   private static final long DISCARD_MILLIS = 2_000;
 
+  /** Stands in the log for the id of a request whose response was complete. */
+  private static final String NO_ID = "-";
+
   private final NetSocketInternal socket;
   private final CallerServer server;
   private final ForwardLimits limits;
@@ -69,7 +72,7 @@
     this.server = server;
     this.limits = limits;
     this.bodyShare = server.memory().requestBodies().open();
-    this.unsent = server.memory().responses().open(() -> abort("memory-full"));
+    this.unsent = server.memory().responses().open(this::currentId, () -> abort("memory-full"));
     this.output = server.memory().slowCallers().open(new Progress(), limits.idleTimeoutMillis());
     this.lastActivityAtMillis = nowMillis;
     HttpDecoderConfig config =
@@ -90,9 +93,15 @@
     return open;
   }
 
+  private String currentId() {
+    return currentExchange
+        .map(exchange -> server.memory().requestId(exchange.request()))
+        .orElse(NO_ID);
+  }
+
   private void onMessage(Object message) {
     try {
-      if (rejecting || !(message instanceof HttpObject part)) {
+      if (rejecting || !open || !(message instanceof HttpObject part)) {
         if (discarding && message instanceof LastHttpContent) {
           onDiscarded();
         }
@@ -309,6 +318,7 @@
 
   private void closeAfterResponse() {
     open = false;
+    releaseBodies();
     // The socket is closed after the data written before has been sent.
     server.onConnectionClosing(socket.close());
     server.onConnectionClosed(this);
@@ -350,15 +360,20 @@
     }
   }
 
+  /** Drops the bodies of requests that will not be started. */
+  private void releaseBodies() {
+    bodyShare.release();
+    pipelined.forEach(CallerExchange::handleDisconnect);
+    pipelined.clear();
+  }
+
   private void onClosed() {
     if (!open) {
       return;
     }
     open = false;
     output.close();
-    bodyShare.release();
-    pipelined.forEach(CallerExchange::handleDisconnect);
-    pipelined.clear();
+    releaseBodies();
     server.onConnectionClosed(this);
     Optional<CallerExchange> aborted = currentExchange;
     currentExchange = Optional.empty();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointAttempt.java
@@ -108,7 +108,10 @@
     this.route = route;
     this.target = target;
     this.startedAtMillis = forwarder.context().now();
-    this.held = forwarder.responseMemory().open(() -> fail(MEMORY_FULL));
+    this.held =
+        forwarder
+            .responseMemory()
+            .open(() -> request.requestId().orElse("-"), () -> fail(MEMORY_FULL));
   }
 
   AttemptTarget target() {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostMemory.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostMemory.java
@@ -40,7 +40,7 @@
     this.headerTranslator = headerTranslator;
     responses =
         new ResponseMemory(
-            bounds.responses(), bytes -> record(RESPONSES, bytes, bounds.responses(), "-"));
+            bounds.responses(), (bytes, id) -> record(RESPONSES, bytes, bounds.responses(), id));
     requestBodies = new BodyMemory(bounds.requestBodies());
     endpointBodies = new EndpointBodies(bounds.endpointBodies());
     slowCallers = new SlowCallers(bounds.slowCallers(), bounds.slowCaller());
@@ -89,7 +89,8 @@
     context.metrics().counter(MetricRegistry.name(METRICS, "stalled-callers")).inc();
   }
 
-  private String requestId(HttpRequest request) {
+  /** Returns the id of a request for the log. */
+  String requestId(HttpRequest request) {
     List<String> ids = headerTranslator.requestIds(request.headers());
     return ids.size() == 1 ? ids.get(0) : "-";
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseMemory.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ResponseMemory.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.LongConsumer;
+import java.util.function.Supplier;
 
 /**
  * Bounds the bytes of responses that a host holds, of all connections together: each may be within
@@ -17,26 +17,33 @@
   private static final int HEAP_PARTS = 4;
 
   private final long maximumBytes;
-  private final LongConsumer endListener;
+  private final EndListener endListener;
   private final Set<Share> shares = new LinkedHashSet<>();
   private long heldBytes;
 
+  /** Learns that a holder ends because all responses together are too long. */
+  interface EndListener {
+
+    /** Handles that the holder with an id ends, given the bytes that all held. */
+    void onEnd(long heldBytes, String id);
+  }
+
   /**
    * Creates an empty memory.
    *
    * @param maximumBytes the maximum of the sum, in bytes
    */
   ResponseMemory(long maximumBytes) {
-    this(maximumBytes, bytes -> {});
+    this(maximumBytes, (bytes, id) -> {});
   }
 
   /**
    * Creates an empty memory.
    *
    * @param maximumBytes the maximum of the sum, in bytes
-   * @param endListener receives the sum each time before the largest holder ends
+   * @param endListener learns each time that the largest holder ends
    */
-  ResponseMemory(long maximumBytes, LongConsumer endListener) {
+  ResponseMemory(long maximumBytes, EndListener endListener) {
     this.maximumBytes = maximumBytes;
     this.endListener = endListener;
   }
@@ -52,7 +59,17 @@
    * @param exhaustedHandler drops what the share stands for, as it is the largest one
    */
   Share open(Runnable exhaustedHandler) {
-    return new Share(exhaustedHandler);
+    return open(() -> "-", exhaustedHandler);
+  }
+
+  /**
+   * Returns an empty share.
+   *
+   * @param id supplies the id of the request that the share stands for
+   * @param exhaustedHandler drops what the share stands for, as it is the largest one
+   */
+  Share open(Supplier<String> id, Runnable exhaustedHandler) {
+    return new Share(id, exhaustedHandler);
   }
 
   long heldBytes() {
@@ -62,11 +79,13 @@
   /** What one holder holds. */
   final class Share {
 
+    private final Supplier<String> id;
     private final Runnable exhaustedHandler;
     private long bytes;
     private boolean exhausted;
 
-    private Share(Runnable exhaustedHandler) {
+    private Share(Supplier<String> id, Runnable exhaustedHandler) {
+      this.id = id;
       this.exhaustedHandler = exhaustedHandler;
     }
 
@@ -104,9 +123,12 @@
   }
 
   private void endLargest() {
-    endListener.accept(heldBytes);
     Optional<Share> largest =
         shares.stream().max(Comparator.comparingLong((Share share) -> share.bytes));
-    largest.ifPresent(Share::end);
+    largest.ifPresent(
+        share -> {
+          endListener.onEnd(heldBytes, share.id.get());
+          share.end();
+        });
   }
 }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/MemoryBoundsTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/MemoryBoundsTest.java
@@ -155,6 +155,29 @@
     }
   }
 
+  // The bodies of callers that went away, or that came after the last request, were counted on.
+  @Test
+  public void bodiesOfGoneCallersAreReleased() throws IOException {
+    ScriptedEndpoint endpoint = waitingEndpoint();
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()))) {
+      String body = "x".repeat(BODY_BYTES);
+      String request = ForwardFixture.request("POST", "/unsafe/x", "i", body);
+      Socket sending = fixture.open();
+      write(sending, request.substring(0, request.length() - 1));
+      Socket waiting = fixture.open();
+      write(waiting, request.replace("Connection: close\r\n", "") + request);
+      await(() -> heldBytes(fixture, HostMemory.REQUEST_BODIES) > 3L * BODY_BYTES, "held");
+      sending.close();
+      waiting.close();
+      await(() -> heldBytes(fixture, HostMemory.REQUEST_BODIES) == 0, "bodies are released");
+      try (Socket closing = fixture.open()) {
+        write(closing, request + request + request.substring(0, request.length() - 1));
+        assertTrue(readAll(closing).startsWith("HTTP/1.1 504"));
+      }
+      await(() -> heldBytes(fixture, HostMemory.REQUEST_BODIES) == 0, "bodies are released");
+    }
+  }
+
   // A pipelined body that was refused must not end the response that precedes it.
   @Test
   public void refusedBodyWaitsForFormerResponse() throws IOException {
