--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -56,7 +56,7 @@
    * @param limits learns the request limits of endpoints
    * @param departures learns which endpoints leave
    * @param streamOrigins finds the software versions of streams
-   * @param responseMemory bounds the bytes of responses that are held
+   * @param memory bounds the bytes that are held
    */
   record Parts(
       HeaderTranslator headerTranslator,
@@ -68,7 +68,7 @@
       EndpointLimitRunner limits,
       EndpointDepartureRunner departures,
       StreamOriginExchange streamOrigins,
-      ResponseMemory responseMemory) {}
+      HostMemory memory) {}
 
   Forwarder(HostContext context, HostState state, Parts parts) {
     this.context = context;
@@ -122,7 +122,11 @@
   }
 
   ResponseMemory responseMemory() {
-    return parts.responseMemory();
+    return parts.memory().responses();
+  }
+
+  HostMemory memory() {
+    return parts.memory();
   }
 
   void count(String name) {
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -41,6 +41,7 @@
 import org.lentilhinge.permit.PermitReturn;
 import org.lentilhinge.quarantine.RequestQuarantine;
 import org.lentilhinge.resume.StreamOriginExchange;
+import org.lentilhinge.runtime.memory.MemoryBounds;
 
 /** A server for callers and a forwarder on real sockets, with scripted endpoints. */
 final class ForwardFixture implements AutoCloseable {
@@ -64,18 +65,31 @@
   private final EndpointDepartureRunner departures;
   private final QuarantineRunner quarantine;
   private final Forwarder forwarder;
-  private final ResponseMemory responseMemory = new ResponseMemory(MAXIMUM_HELD_BYTES);
+  private final HostMemory memory;
   private final AtomicLong advancedMillis = new AtomicLong();
   private volatile Runnable beforePermitAnswer = () -> {};
   private volatile Optional<Runnable> afterNextRequest = Optional.empty();
 
+  /** Bounds that only a test of them reaches. */
+  static final MemoryBounds BOUNDS =
+      new MemoryBounds(MAXIMUM_HELD_BYTES, 4_194_304, 1_048_576, 4_194_304, 524_288);
+
   ForwardFixture(Vertx vertx, List<String> endpoints) {
-    this(vertx);
+    this(vertx, endpoints, BOUNDS);
+  }
+
+  /** Starts a host with bounds of the bytes that it holds. */
+  ForwardFixture(Vertx vertx, List<String> endpoints, MemoryBounds bounds) {
+    this(vertx, bounds);
     readStore(endpoints);
   }
 
   /** Starts a host without a configuration and endpoints. */
   ForwardFixture(Vertx vertx) {
+    this(vertx, BOUNDS);
+  }
+
+  private ForwardFixture(Vertx vertx, MemoryBounds bounds) {
     this.vertx = vertx;
     context =
         new HostContext(
@@ -84,6 +98,7 @@
             () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) + advancedMillis.get(),
             new EventLog(new PrintStream(PrintStream.nullOutputStream()), () -> 0),
             new MetricRegistry());
+    memory = new HostMemory(context, new PlainHeaderTranslator(), bounds);
     state = new HostState(context, overlay(settings()));
     EndpointPool pool = createPool();
     RelaySelector relays = new RelaySelector(new HostRecord("10.0.0.1", "a", "north", 1, 1, false));
@@ -114,7 +129,7 @@
                 limits,
                 departures,
                 streamOrigins,
-                responseMemory));
+                memory));
     CompletableFuture<CallerServer> created = new CompletableFuture<>();
     loop = vertx.getOrCreateContext();
     CompletableFuture<Integer> listening = new CompletableFuture<>();
@@ -181,7 +196,7 @@
         "127.0.0.1:0",
         state::forwardLimits,
         context.clock(),
-        responseMemory,
+        memory,
         this::accept,
         (status, reason) -> {});
   }
@@ -310,13 +325,14 @@
             route("/unsafe/", RequestKind.UNSAFE, false),
             route("/stream/", RequestKind.STREAM, false),
             route("/resumable/", RequestKind.STREAM, true),
-            publicRoute());
+            publicRoute(),
+            longRoute());
     ForwardService service = new ForwardService("s", 100, Optional.empty());
     return new ForwardConfiguration(
         new DeclaredVersion(1, new StoreRevision(0, 1)),
         routes,
         Map.of("s", service),
-        new ForwardLimits(8_192, 100_000, 3_000, 15_000));
+        new ForwardLimits(8_192, 8_388_608, 3_000, 15_000));
   }
 
   private static ForwardRoute route(String prefix, RequestKind kind, boolean resumable) {
@@ -324,6 +340,13 @@
     return new ForwardRoute(prefix, "h", prefix, kind, 2_000, 500, 0, shares, 2, resumable, false);
   }
 
+  /** Returns a route of streams that last longer than those of most tests. */
+  private static ForwardRoute longRoute() {
+    List<ServiceShare> shares = List.of(new ServiceShare("s", 1));
+    return new ForwardRoute(
+        "long", "h", "/long/", RequestKind.STREAM, 10_000, 500, 0, shares, 2, false, false);
+  }
+
   private static ForwardRoute publicRoute() {
     List<ServiceShare> shares = List.of(new ServiceShare("s", 1));
     return new ForwardRoute(
@@ -377,6 +400,15 @@
         + body;
   }
 
+  HostContext context() {
+    return context;
+  }
+
+  /** Closes the connections of callers that are idle or read nothing, as a host does regularly. */
+  void closeExpiredConnections() {
+    onLoop(callerServer::closeExpiredConnections);
+  }
+
   /** Returns the number of responses of an endpoint that were given up as too long. */
   long oversizedResponses(String endpoint) {
     String name = MetricRegistry.name(Forwarder.OVERSIZED_RESPONSES, endpoint);
@@ -415,7 +447,8 @@
     onLoop(forwarder::refuseUnsent);
   }
 
-  private void onLoop(Runnable task) {
+  /** Runs a task on the event loop. */
+  void onLoop(Runnable task) {
     CompletableFuture<Void> done = new CompletableFuture<>();
     loop.runOnContext(
         unused -> {
