--- /dev/null
+++ b/core/src/test/java/org/lentilhinge/published/check/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the checks of a published configuration. */
+package org.lentilhinge.published.check;
