--- a/tools/src/main/java/org/lentilhinge/tools/DiffTool.java
+++ b/tools/src/main/java/org/lentilhinge/tools/DiffTool.java
@@ -61,17 +61,23 @@
     return result.configuration();
   }
 
-  private static String render(ConfigurationDifference difference, FindingFormat format) {
+  /** Renders the changes, with a line feed at the end. */
+  static String render(ConfigurationDifference difference, FindingFormat format) {
     if (format == FindingFormat.JSON) {
-      JsonArray array = new JsonArray();
-      difference.changes().forEach(change -> array.add(object(change)));
-      return array.encodePrettily() + "\n";
+      return array(difference).encodePrettily() + "\n";
     }
     StringBuilder text = new StringBuilder();
     difference.changes().forEach(change -> text.append(change).append('\n'));
     return text.append(difference.changes().size()).append(" changes\n").toString();
   }
 
+  /** Returns the changes as a JSON array of objects. */
+  static JsonArray array(ConfigurationDifference difference) {
+    JsonArray array = new JsonArray();
+    difference.changes().forEach(change -> array.add(object(change)));
+    return array;
+  }
+
   private static JsonObject object(ConfigurationChange change) {
     JsonObject object = new JsonObject().put("subject", change.subject());
     change.before().ifPresent(text -> object.put("before", text));
--- a/tools/src/main/java/org/lentilhinge/tools/FindingFormat.java
+++ b/tools/src/main/java/org/lentilhinge/tools/FindingFormat.java
@@ -46,9 +46,14 @@
     if (this == TEXT) {
       return findings.toString();
     }
+    return array(findings).encodePrettily();
+  }
+
+  /** Returns the findings as a JSON array of objects. */
+  static JsonArray array(Findings findings) {
     JsonArray array = new JsonArray();
     findings.list().forEach(finding -> array.add(object(finding)));
-    return array.encodePrettily();
+    return array;
   }
 
   private static JsonObject object(Finding finding) {
--- a/tools/src/main/java/org/lentilhinge/tools/Lentilhinge.java
+++ b/tools/src/main/java/org/lentilhinge/tools/Lentilhinge.java
@@ -23,6 +23,7 @@
             new EmulateTool(console, StopSignal.onProcessSignal()),
             new CheckTool(console),
             new DiffTool(console),
+            new CheckPublishedTool(console),
             new StatusTool(console),
             new ReplayCommand(console));
   }
@@ -93,7 +94,7 @@
   private String help() {
     StringBuilder text = new StringBuilder("usage: lentilhinge SUBCOMMAND [OPTION]...\n\n");
     for (Tool tool : tools) {
-      text.append(String.format("  %-8s %s%n", tool.name(), tool.summary()));
+      text.append(String.format("  %-15s %s%n", tool.name(), tool.summary()));
     }
     return text.append("\nEach subcommand describes itself with --help.\n").toString();
   }
--- a/tools/src/test/java/org/lentilhinge/tools/PagesTest.java
+++ b/tools/src/test/java/org/lentilhinge/tools/PagesTest.java
@@ -21,8 +21,8 @@
 
   private static final Path ROOT = Path.of("..");
   private static final List<String> COMMANDS =
-      List.of("serve", "check", "diff", "status", "trial", "emulate", "replay");
-  private static final Pattern COMMAND_ROW = Pattern.compile("(?m)^\\| `([a-z]+)[ `]");
+      List.of("serve", "check", "diff", "check-published", "status", "trial", "emulate", "replay");
+  private static final Pattern COMMAND_ROW = Pattern.compile("(?m)^\\| `([a-z-]+)[ `]");
   private static final Pattern METRIC =
       Pattern.compile("`((?:gateway|engine|service|configuration)\\.[a-z.]+)`");
   private static final Pattern LINK = Pattern.compile("\\]\\(([^)#]+)\\)");
