--- a/core/src/main/java/org/lentilhinge/published/check/CallerLimitCheck.java
+++ b/core/src/main/java/org/lentilhinge/published/check/CallerLimitCheck.java
@@ -32,7 +32,7 @@
     if (limit <= 0) {
       findings.add(
           EntryFinding.error(
-              "no request can pass with a limit of " + limit, EntryReference.of(field)));
+              "expected more than 0, but the limit is " + limit, EntryReference.of(field)));
     }
   }
 }
--- a/core/src/main/java/org/lentilhinge/published/check/DuplicateRouteCheck.java
+++ b/core/src/main/java/org/lentilhinge/published/check/DuplicateRouteCheck.java
@@ -28,7 +28,9 @@
                 EntryReference.of(EntryField.ROUTE, index),
                 EntryReference.of(EntryField.ROUTE_HOST, index),
                 EntryReference.of(EntryField.ROUTE_PREFIX, index),
-                EntryReference.of(EntryField.ROUTE, last)));
+                EntryReference.of(EntryField.ROUTE, last),
+                EntryReference.of(EntryField.ROUTE_HOST, last),
+                EntryReference.of(EntryField.ROUTE_PREFIX, last)));
       }
     }
     return findings;
--- a/core/src/main/java/org/lentilhinge/published/check/PublishedDifference.java
+++ b/core/src/main/java/org/lentilhinge/published/check/PublishedDifference.java
@@ -114,7 +114,10 @@
   }
 
   private static String describe(ForwardService service) {
-    return "connections " + service.maximumConnections() + describe(service.engine());
+    int connections = service.maximumConnections();
+    return "connections "
+        + (connections == Integer.MAX_VALUE ? "unlimited" : connections)
+        + describe(service.engine());
   }
 
   private static String describe(Optional<EngineCapacity> engine) {
--- a/core/src/main/java/org/lentilhinge/published/check/ServiceCapacityCheck.java
+++ b/core/src/main/java/org/lentilhinge/published/check/ServiceCapacityCheck.java
@@ -5,7 +5,7 @@
 import org.lentilhinge.forward.EngineCapacity;
 import org.lentilhinge.forward.ForwardService;
 
-/** Finds services whose endpoints can run no request. */
+/** Finds services whose endpoints have no declared capacity for a request. */
 final class ServiceCapacityCheck implements PublishedCheck {
 
   @Override
@@ -33,7 +33,7 @@
     if (capacity < 1) {
       findings.add(
           EntryFinding.error(
-              "no request can run with a capacity of " + capacity,
+              "expected at least 1, but the capacity is " + capacity,
               EntryReference.of(field, index)));
     }
   }
--- a/core/src/test/java/org/lentilhinge/published/check/PublishedCheckTest.java
+++ b/core/src/test/java/org/lentilhinge/published/check/PublishedCheckTest.java
@@ -240,9 +240,9 @@
   public void findsServiceWithoutCapacity() {
     EngineCapacity engine = new EngineCapacity(0, 1, 0, List.of());
     sample.services.set(0, new ForwardService("engines", 1, Optional.of(engine)));
-    checkOnly(Severity.ERROR, at(EntryField.SERVICE_BATCH_SLOTS, 0), "capacity of 0");
+    checkOnly(Severity.ERROR, at(EntryField.SERVICE_BATCH_SLOTS, 0), "the capacity is 0");
     sample.services.set(0, new ForwardService("engines", 0, Optional.empty()));
-    checkOnly(Severity.ERROR, at(EntryField.SERVICE_CONNECTIONS, 0), "capacity of 0");
+    checkOnly(Severity.ERROR, at(EntryField.SERVICE_CONNECTIONS, 0), "the capacity is 0");
   }
 
   // Requests with a shared key count for another customer. A printed key would have to be changed.
@@ -308,11 +308,11 @@
   @Test
   public void findsLimitsThatLetNothingPass() {
     sample.limits = new ForwardLimits(0, 10, 3_000, 15_000);
-    checkOnly(Severity.ERROR, EntryReference.of(EntryField.HEADER_LIMIT), "no request can pass");
+    checkOnly(Severity.ERROR, EntryReference.of(EntryField.HEADER_LIMIT), "the limit is 0");
     sample.limits = new ForwardLimits(10, 10, 0, 15_000);
-    checkOnly(Severity.ERROR, EntryReference.of(EntryField.HEADER_TIMEOUT), "no request can pass");
+    checkOnly(Severity.ERROR, EntryReference.of(EntryField.HEADER_TIMEOUT), "the limit is 0");
     sample.limits = new ForwardLimits(10, 10, 10, 0);
-    checkOnly(Severity.ERROR, EntryReference.of(EntryField.IDLE_TIMEOUT), "no request can pass");
+    checkOnly(Severity.ERROR, EntryReference.of(EntryField.IDLE_TIMEOUT), "the limit is 0");
   }
 
   // A check that stops at the first finding costs one run for each fault.
