Prove that a host has relayed a request

A caller that marked its own request with X-Lentilhinge-Relay was served as if another host had relayed it: its customer was not charged and the request did not count for the retry budget (found in review; the new test fails before the change). The mark now contains a proof made from the secret of the hosts; a mark without a valid one is ignored, so that a request relayed by a host of the former build is served as a caller's.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/Forwarder.java
@@ -153,6 +153,7 @@
    */
   void accept(CallerExchange exchange) {
     count("requests");
+    parts.relay().verify(exchange.request().headers());
     long now = context.now();
     if (state.isInitialized() || !startupBuffer.offer(() -> forward(exchange, now), now)) {
       forward(exchange, now);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/HostRelay.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/HostRelay.java
@@ -1,5 +1,6 @@
 package org.lentilhinge.runtime.forward;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -8,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import org.lentilhinge.overlay.HostRecord;
@@ -20,7 +22,7 @@
  */
 final class HostRelay {
 
-  /** Marks a relayed request; its value is the version of the sender's configuration. */
+  /** Marks a relayed request; its value is that of {@link RelayProof}. */
   static final String HEADER = "X-Lentilhinge-Relay";
 
   /** Marks a refusal of a host that cannot serve others now, so that another one may. */
@@ -43,6 +45,7 @@
   private final HostContext context;
   private final HostState state;
   private final Random random;
+  private final RelayProof proof;
   private final Map<String, Helper> helpers = new HashMap<>();
   private int relayedRequests;
 
@@ -83,6 +86,7 @@
     this.context = context;
     this.state = state;
     this.random = random;
+    proof = new RelayProof(context.settings().peerSecret());
   }
 
   /** Returns the hosts to ask whether they can help, some of each zone, the nearest zones first. */
@@ -157,7 +161,15 @@
 
   /** Returns the value of {@link #HEADER} in the requests of this host. */
   String headerValue() {
-    return String.valueOf(version());
+    return proof.mark(version());
+  }
+
+  /** Removes {@link #HEADER} from a request of a caller, which must not set it. */
+  void verify(HttpHeaders headers) {
+    List<String> values = headers.getAll(HEADER);
+    if (!values.isEmpty() && (values.size() > 1 || proof.verify(values.get(0)).isEmpty())) {
+      headers.remove(HEADER);
+    }
   }
 
   private long version() {
@@ -172,7 +184,8 @@
    * @return whether the request is accepted; if so, {@link #release} must be called at its end
    */
   boolean accept(String headerValue) {
-    boolean current = headerValue.matches("\\d{1,18}") && Long.parseLong(headerValue) <= version();
+    OptionalLong senderVersion = proof.verify(headerValue);
+    boolean current = senderVersion.isPresent() && senderVersion.getAsLong() <= version();
     boolean able = !state.cutOffHosts().contains(context.host()) && !state.isLeaving();
     if (!current || !able || relayedRequests >= MAXIMUM_RELAYED) {
       return false;
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ApiKeyTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ApiKeyTest.java
@@ -111,7 +111,8 @@
     ScriptedEndpoint endpoint = endpoint();
     try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()))) {
       fixture.declareCustomers(List.of(customer("acme", "k1")), 2);
-      String relayed = HostRelay.HEADER + ": 1\r\nX-Key: k2\r\n";
+      String mark = new RelayProof(ForwardFixture.settings().peerSecret()).mark(1);
+      String relayed = HostRelay.HEADER + ": " + mark + "\r\nX-Key: k2\r\n";
       assertTrue(hasStatus(fixture.send(request("/unsafe/x", relayed)), 503));
     }
     assertTrue(endpoint.requests().isEmpty());
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/CustomerQuotaTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/CustomerQuotaTest.java
@@ -139,7 +139,8 @@
     ScriptedEndpoint endpoint = endpoint();
     try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()))) {
       fixture.declareCustomers(List.of(customer(1)), 2);
-      String relayed = HostRelay.HEADER + ": 1\r\n";
+      String mark = new RelayProof(ForwardFixture.settings().peerSecret()).mark(1);
+      String relayed = HostRelay.HEADER + ": " + mark + "\r\n";
       assertEquals(status(fixture.send(request("/unsafe/x", relayed))), 200);
       assertEquals(status(fixture.send(request("/unsafe/x", ""))), 200);
       assertEquals(status(fixture.send(request("/unsafe/x", ""))), 429);
@@ -147,6 +148,21 @@
     }
   }
 
+  // A caller that marked its requests as relayed was not charged.
+  @Test
+  public void requestThatNoHostHasRelayedIsCharged() throws IOException {
+    ScriptedEndpoint endpoint = endpoint();
+    String mark = new RelayProof("guess").mark(1);
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()))) {
+      fixture.declareCustomers(List.of(customer(1)), 2);
+      assertEquals(status(fixture.send(request("/unsafe/x", ""))), 200);
+      for (String forged : List.of("0", "1", "", mark)) {
+        String header = HostRelay.HEADER + ": " + forged + "\r\n";
+        assertEquals(status(fixture.send(request("/unsafe/x", header))), 429, forged);
+      }
+    }
+  }
+
   @Test
   public void configurationWithoutCustomersHasNoQuota() throws IOException {
     ScriptedEndpoint endpoint = endpoint();
