Count demand for adapters by service, by age and without single long prompts

Found in review: one prompt of 82,000 tokens counted as a demand for eight engines and changed the admission of all requests for seconds; a status that arrived after its engine had ended stayed in the sums for good; adapters of one engine service were loaded ahead on the engines of others. A request counts for half a second of prefill at most, statements are dropped after 2.5 s, and loads are exchanged with the name of the service.

FleetDemandTest (two new cases), EngineSelectorTest, OwnedEngineRunnerTest and EndpointChoiceTest pass.

--- a/core/src/main/java/org/lentilhinge/demand/DemandMeter.java
+++ b/core/src/main/java/org/lentilhinge/demand/DemandMeter.java
@@ -14,6 +14,12 @@
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /**
+   * The prefill time that one request counts at most, in milliseconds. A single very long prompt is
+   * no demand that further engines could share.
+   */
+  private static final double MAXIMUM_PREFILL_MILLIS = 500;
+
   /** The load below which the demand for an adapter is not stated to other hosts. */
   private static final double MINIMUM_LOAD = 0.05;
 
@@ -52,7 +58,7 @@
     Sum sum = sums.computeIfAbsent(adapter, unused -> new Sum());
     sum.decayTo(nowMillis);
     sum.requests++;
-    sum.prefillMillis += prefillMillis;
+    sum.prefillMillis += Math.min(MAXIMUM_PREFILL_MILLIS, prefillMillis);
   }
 
   /**
--- a/core/src/main/java/org/lentilhinge/demand/FleetDemand.java
+++ b/core/src/main/java/org/lentilhinge/demand/FleetDemand.java
@@ -34,11 +34,19 @@
   /** The interval at which the sums are updated. */
   private static final long UPDATE_INTERVAL_MILLIS = 100;
 
-  private final Map<String, List<AdapterLoad>> stated = new HashMap<>();
+  /**
+   * The age above which a statement is ignored, in milliseconds. Statements are repeated each
+   * second; one that arrives after its engine has ended is the last one.
+   */
+  private static final long MAXIMUM_AGE_MILLIS = 2_500;
+
+  private final Map<String, Statement> stated = new HashMap<>();
   private Map<String, AdapterLoad> held = new HashMap<>();
   private List<AdapterLoad> spread = List.of();
   private long updatedAtMillis = Long.MIN_VALUE / 2;
 
+  private record Statement(List<AdapterLoad> loads, long receivedAtMillis) {}
+
   /** Creates a state in which no demand is known. */
   public FleetDemand() {}
 
@@ -47,12 +55,13 @@
    *
    * @param incarnation the incarnation of the engine
    * @param loads the loads of the adapters
+   * @param nowMillis the current time, in milliseconds
    */
-  public void update(String incarnation, List<AdapterLoad> loads) {
+  public void update(String incarnation, List<AdapterLoad> loads, long nowMillis) {
     if (loads.isEmpty()) {
       stated.remove(incarnation);
     } else {
-      stated.put(incarnation, loads);
+      stated.put(incarnation, new Statement(loads, nowMillis));
     }
   }
 
@@ -71,11 +80,13 @@
       return;
     }
     updatedAtMillis = nowMillis;
-    Map<String, AdapterLoad> sums = new HashMap<>();
     stated
         .values()
-        .forEach(
-            loads -> loads.forEach(load -> sums.merge(load.adapter(), load, FleetDemand::add)));
+        .removeIf(statement -> nowMillis - statement.receivedAtMillis() > MAXIMUM_AGE_MILLIS);
+    Map<String, AdapterLoad> sums = new HashMap<>();
+    for (Statement statement : stated.values()) {
+      statement.loads().forEach(load -> sums.merge(load.adapter(), load, FleetDemand::add));
+    }
     double factor = Math.pow(0.5, elapsedMillis / FALL_HALF_LIFE_MILLIS);
     held.forEach(
         (adapter, former) -> {
--- a/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineSelector.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
+import org.lentilhinge.demand.AdapterLoad;
 import org.lentilhinge.demand.FleetDemand;
 import org.lentilhinge.demand.PreferredEngines;
 import org.lentilhinge.fleet.FleetEndpoint;
@@ -93,7 +94,7 @@
     if (authoritative || nowMillis - former.receivedAtMillis() > MAXIMUM_STATUS_AGE_MILLIS) {
       statuses.put(status.incarnation(), new ReceivedStatus(host, status, nowMillis));
       unreported.remove(status.incarnation());
-      demand.update(status.incarnation(), status.loads());
+      demand.update(status.incarnation(), status.loads(), nowMillis);
     }
   }
 
@@ -223,7 +224,7 @@
       ToDoubleFunction<FleetEndpoint> failureCost,
       long choice,
       long nowMillis) {
-    int count = demand.engines(adapter, nowMillis);
+    int count = engineCount(engines, adapter, nowMillis);
     List<String> preferred = PreferredEngines.first(engines, adapter, count);
     double toleranceMillis = count > FleetDemand.MINIMUM_ENGINES ? EQUAL_COST_MILLIS : 0;
     List<FleetEndpoint> candidates = new ArrayList<>();
@@ -254,6 +255,15 @@
     return Optional.of(best.get(index));
   }
 
+  /** Returns the number of preferred engines of an adapter; all engines are of one service. */
+  private int engineCount(Collection<FleetEndpoint> engines, String adapter, long nowMillis) {
+    return engines.stream()
+        .findFirst()
+        .map(engine -> AdapterLoad.qualify(engine.service(), adapter))
+        .map(name -> demand.engines(name, nowMillis))
+        .orElse(FleetDemand.MINIMUM_ENGINES);
+  }
+
   private static double loadCostMillis(int preference, int preferredCount) {
     if (preferredCount > FleetDemand.MINIMUM_ENGINES) {
       return preference < 0 ? OTHER_LOAD_MILLIS : SPREAD_LOAD_MILLIS;
--- a/core/src/test/java/org/lentilhinge/demand/FleetDemandTest.java
+++ b/core/src/test/java/org/lentilhinge/demand/FleetDemandTest.java
@@ -71,7 +71,7 @@
   public void adapterGetsAsManyEnginesAsItsDemandOverAllEnginesNeeds() {
     FleetDemand demand = new FleetDemand();
     for (int engine = 0; engine < 16; engine++) {
-      demand.update("e" + engine, List.of(new AdapterLoad("hot", 7, 0.75)));
+      demand.update("e" + engine, List.of(new AdapterLoad("hot", 7, 0.75)), 0);
     }
     assertEquals(demand.engines("hot", 1_000), 30);
     assertEquals(demand.engines("other", 1_000), FleetDemand.MINIMUM_ENGINES);
@@ -81,8 +81,8 @@
   @Test
   public void littleDemandNeedsNoFurtherEngines() {
     FleetDemand demand = new FleetDemand();
-    demand.update("e1", List.of(new AdapterLoad("x", 7, 0.75)));
-    demand.update("e2", List.of(new AdapterLoad("x", 7, 0.75)));
+    demand.update("e1", List.of(new AdapterLoad("x", 7, 0.75)), 0);
+    demand.update("e2", List.of(new AdapterLoad("x", 7, 0.75)), 0);
     assertEquals(demand.engines("x", 1_000), FleetDemand.MINIMUM_ENGINES);
     assertTrue(demand.spread(1_000).isEmpty());
   }
@@ -91,17 +91,36 @@
   @Test
   public void numberOfEnginesRisesAtOnceAndFallsWithinSeconds() {
     FleetDemand demand = new FleetDemand();
-    demand.update("e1", List.of(new AdapterLoad("x", 40, 4)));
+    demand.update("e1", List.of(new AdapterLoad("x", 40, 4)), 0);
     assertEquals(demand.engines("x", 1_000), 10);
-    demand.update("e1", List.of());
+    demand.update("e1", List.of(), 0);
     assertEquals(demand.engines("x", 1_500), 9, 1);
     assertEquals(demand.engines("x", 60_000), FleetDemand.MINIMUM_ENGINES);
   }
 
+  // The last status of an engine can arrive after the engine has ended.
+  @Test
+  public void demandThatIsNotRepeatedEnds() {
+    FleetDemand demand = new FleetDemand();
+    demand.update("e1", List.of(new AdapterLoad("x", 40, 4)), 0);
+    assertEquals(demand.engines("x", 2_000), 10);
+    assertEquals(demand.engines("x", 30_000), FleetDemand.MINIMUM_ENGINES);
+  }
+
+  // One prompt of 82,000 tokens, four seconds of prefill, spread its adapter over eight engines.
+  @Test
+  public void singleLongPromptIsNoDemandForFurtherEngines() {
+    DemandMeter meter = new DemandMeter();
+    meter.recordRequest("x", 4_000, 0);
+    FleetDemand demand = new FleetDemand();
+    demand.update("e1", meter.loads(0), 0);
+    assertEquals(demand.engines("x", 200), FleetDemand.MINIMUM_ENGINES);
+  }
+
   @Test
   public void demandOfLostEngineIsRemoved() {
     FleetDemand demand = new FleetDemand();
-    demand.update("e1", List.of(new AdapterLoad("x", 40, 4)));
+    demand.update("e1", List.of(new AdapterLoad("x", 40, 4)), 0);
     demand.remove("e1");
     assertEquals(demand.engines("x", 1_000), FleetDemand.MINIMUM_ENGINES);
   }
--- a/core/src/test/java/org/lentilhinge/permit/EngineSelectorTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/EngineSelectorTest.java
@@ -106,7 +106,7 @@
     for (String id : List.of("one", "two")) {
       selector.updateStatus(
           "h",
-          status(id, List.of("hot"), 0, 3).withLoads(List.of(new AdapterLoad("hot", 10, 1))),
+          status(id, List.of("hot"), 0, 3).withLoads(List.of(new AdapterLoad("s/hot", 10, 1))),
           0);
     }
     return selector;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/AheadLoader.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/AheadLoader.java
@@ -35,20 +35,22 @@
   private void load(
       OwnedEngineRunner runner, List<AdapterLoad> spread, Map<String, List<String>> preferred) {
     FleetEndpoint engine = runner.engine();
+    String prefix = AdapterLoad.qualify(engine.service(), "");
     for (AdapterLoad demand : spread) {
+      if (!demand.adapter().startsWith(prefix)) {
+        continue;
+      }
+      String adapter = demand.adapter().substring(prefix.length());
       int count = FleetDemand.engines(demand);
       List<String> engines =
           preferred.computeIfAbsent(
-              engine.service() + '/' + demand.adapter(),
+              demand.adapter(),
               unused ->
                   PreferredEngines.first(
-                      state.endpoints().usableEndpoints(engine.service()),
-                      demand.adapter(),
-                      count));
+                      state.endpoints().usableEndpoints(engine.service()), adapter, count));
       if (engines.contains(engine.incarnation())) {
         runner.loadAhead(
-            new AdapterLoad(
-                demand.adapter(), demand.requestsPerSecond() / count, demand.load() / count));
+            new AdapterLoad(adapter, demand.requestsPerSecond() / count, demand.load() / count));
       }
     }
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -113,9 +113,12 @@
   }
 
   EngineStatus status() {
-    return scheduler
-        .status(engine.incarnation(), ownership.isOwner(), context.now())
-        .withFencingToken(ownership.fencingToken().orElse(0));
+    EngineStatus status =
+        scheduler.status(engine.incarnation(), ownership.isOwner(), context.now());
+    return status
+        .withFencingToken(ownership.fencingToken().orElse(0))
+        .withLoads(
+            status.loads().stream().map(load -> load.withService(engine.service())).toList());
   }
 
   /** Loads an adapter ahead of its requests, if the engine has time and room for it. */
