Clear an expired memory reservation, and count only refusals that memory could avoid

After its end a reservation kept its size and its run, so that one refusal of a medium request renewed it in the former size. Refusals of requests without a loaded adapter counted as well, although free memory would not have served them.

An expired reservation and its run are now cleared, and only requests of at least the reserved size extend it.

--- a/core/src/main/java/org/lentilhinge/permit/MemoryReservation.java
+++ b/core/src/main/java/org/lentilhinge/permit/MemoryReservation.java
@@ -24,16 +24,24 @@
     this.memoryTokens = memoryTokens;
   }
 
-  /** Records a refusal. The reservation lasts as long as the caller may return. */
+  /**
+   * Records a refusal for want of memory or prefill. The reservation lasts as long as the callers
+   * of the requests that need all of it may return.
+   */
   void recordRefusal(PermitRequest request, long nowMillis) {
+    if (reservedTokens > 0 && nowMillis >= endAtMillis) {
+      run = 0;
+      reservedTokens = 0;
+    }
     int tokens = RunningRequests.tokens(request);
     if (tokens < memoryTokens * LARGE_PART) {
       return;
     }
     run++;
-    if (run >= MAXIMUM_RUN) {
-      reservedTokens = Math.max(reservedTokens, Math.min(memoryTokens, tokens));
-      endAtMillis = nowMillis + request.remainingMillis();
+    int neededTokens = Math.min(memoryTokens, tokens);
+    if (run >= MAXIMUM_RUN && neededTokens >= reservedTokens) {
+      reservedTokens = neededTokens;
+      endAtMillis = Math.max(endAtMillis, nowMillis + request.remainingMillis());
     }
   }
 
--- a/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
+++ b/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
@@ -134,6 +134,11 @@
     return !adapter.isEmpty() && slots.find(adapter).isEmpty();
   }
 
+  private boolean isAdapterLoaded(String adapter) {
+    return adapter.isEmpty()
+        || slots.find(adapter).filter(slot -> slot.state == AdapterSlot.State.RESIDENT).isPresent();
+  }
+
   /** Returns the requests without which an adapter less waits for a slot, and the last one. */
   private List<QueueEntry> slotCandidates(List<QueueEntry> ahead) {
     Map<String, Integer> counts = new HashMap<>();
@@ -169,7 +174,10 @@
       return entry.refusal(waitMillis, reason, nowMillis);
     }
     queue.recordRefusal(entry);
-    reservation.recordRefusal(entry.request(), nowMillis);
+    if (isAdapterLoaded(entry.request().adapter())) {
+      // Free memory would not have served a request whose adapter is absent or still loads.
+      reservation.recordRefusal(entry.request(), nowMillis);
+    }
     double intervalMillis = serviceRate.millisPerPermit();
     if (intervalMillis == 0) {
       intervalMillis = backlog.prefillMillis(entry.request().promptTokens());
