Let the first adapter without a slot wait, and keep the run of a refused due request

The wait for an adapter slot is estimated from requests that waited. An estimate above the longest wait that the requests state refused all of them, was never corrected, and no slot was freed. A request that was due after a run of refusals lost its turn when it was refused at its arrival.

The slot wait of the first adapter without a slot no longer refuses a request that states its longest wait, nor shows a shortage in the order by standing. A due request that is refused at its arrival leaves its run as it was. LoadAheadTest expected the refusal of the only request without a slot; it now expects that of the second one, and that the first one waits.

--- a/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
+++ b/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
@@ -54,18 +54,33 @@
       return admitByStanding(added, nowMillis);
     }
     long waitMillis = expectedWaitMillis(request, nowMillis);
-    if (isLate(added, waitMillis, nowMillis)) {
+    long boundedMillis =
+        isFirstForSlot(added) ? backlogWaitMillis(queue.promptTokens(), nowMillis) : waitMillis;
+    if (isLate(added, boundedMillis, nowMillis)) {
       return List.of(added.refusal(waitMillis, NO_ROOM, nowMillis));
     }
     queue.add(added);
     return List.of();
   }
 
+  /**
+   * Returns whether a request that states its longest wait is for the only adapter without a slot.
+   * Its slot wait does not count: the estimate is corrected only by requests that wait, and slots
+   * are freed only for these, so that an estimate above the stated waits would last forever.
+   */
+  private static boolean isFirstForSlot(QueueEntry added) {
+    return added.slotsAhead() == 0
+        && QueueEntry.maximumWaitMillis(added.request()) < Long.MAX_VALUE;
+  }
+
   private List<EngineCommand> admitByStanding(QueueEntry added, long nowMillis) {
     queue.add(added);
     List<QueueEntry> refused = selectRefused(added, nowMillis);
     List<EngineCommand> refusals = new ArrayList<>();
     for (QueueEntry entry : refused) {
+      if (entry.equals(added)) {
+        queue.restoreRuns(entry);
+      }
       queue.remove(entry.key());
       String reason = entry.equals(added) ? NO_ROOM : PermitAnswer.DISPLACED;
       refusals.add(refuse(entry, reason, nowMillis));
@@ -119,14 +134,16 @@
 
   /**
    * Returns the expected wait for a slot of the first request for an adapter without one. Further
-   * requests for the adapter use the same slot.
+   * requests for the adapter use the same slot. The first adapter counts as one without a wait, so
+   * that one always waits and corrects the estimate.
    */
   private long slotWaitMillis(QueueEntry entry, Set<String> absent) {
     String adapter = entry.request().adapter();
     if (!isWithoutSlot(entry) || slots.available() > 0 || !absent.add(adapter)) {
       return 0;
     }
-    return slotWaits.expectedWaitMillis(absent.size() - 1);
+    int slotsAhead = absent.size() - 1;
+    return slotsAhead == 0 ? 0 : slotWaits.expectedWaitMillis(slotsAhead);
   }
 
   private boolean isWithoutSlot(QueueEntry entry) {
--- a/core/src/main/java/org/lentilhinge/permit/RefusalRuns.java
+++ b/core/src/main/java/org/lentilhinge/permit/RefusalRuns.java
@@ -1,10 +1,8 @@
 package org.lentilhinge.permit;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Counts how many requests of each priority and of each customer were refused in succession since
@@ -25,8 +23,11 @@
 
   private final Map<Integer, Integer> byPriority = new HashMap<>();
 
-  /** The keys of the waiting requests that precede all others; one for each run at most. */
-  private final Set<String> due = new HashSet<>();
+  /** The runs that a request ended when it arrived. */
+  private record EndedRuns(int ofPriority, int ofCustomer) {}
+
+  /** The waiting requests that precede all others, by key; one for each run at most. */
+  private final Map<String, EndedRuns> due = new HashMap<>();
 
   private final Map<String, Integer> byCustomer =
       new LinkedHashMap<>() {
@@ -52,17 +53,32 @@
   /** Begins to serve a request before all others if it is due after a run of refusals. */
   void recordArrival(QueueEntry entry) {
     if (isRunComplete(entry)) {
-      due.add(entry.key());
+      due.put(
+          entry.key(),
+          new EndedRuns(byPriority.getOrDefault(entry.priorityClass(), 0), customerRun(entry)));
       recordPermit(entry);
     }
   }
 
   private boolean isRunComplete(QueueEntry entry) {
     return byPriority.getOrDefault(entry.priorityClass(), 0) >= MAXIMUM_RUN
-        || entry
-            .standing()
-            .filter(standing -> byCustomer.getOrDefault(standing.name(), 0) >= MAXIMUM_RUN)
-            .isPresent();
+        || customerRun(entry) >= MAXIMUM_RUN;
+  }
+
+  private int customerRun(QueueEntry entry) {
+    return entry.standing().map(standing -> byCustomer.getOrDefault(standing.name(), 0)).orElse(0);
+  }
+
+  /** Restores the runs that a request ended when it arrived, if it was due after them. */
+  void restore(QueueEntry entry) {
+    EndedRuns ended = due.get(entry.key());
+    if (ended == null) {
+      return;
+    }
+    byPriority.merge(entry.priorityClass(), ended.ofPriority(), Integer::sum);
+    entry
+        .standing()
+        .ifPresent(standing -> byCustomer.merge(standing.name(), ended.ofCustomer(), Integer::sum));
   }
 
   /** Forgets a request that has left the queue. */
@@ -72,6 +88,6 @@
 
   /** Returns whether a request precedes all others. */
   boolean isDue(QueueEntry entry) {
-    return !due.isEmpty() && due.contains(entry.key());
+    return !due.isEmpty() && due.containsKey(entry.key());
   }
 }
--- a/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
+++ b/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
@@ -101,6 +101,11 @@
     standingOrder.recordRefusal(entry);
   }
 
+  /** Restores the runs of refusals that a waiting request ended when it arrived. */
+  void restoreRuns(QueueEntry entry) {
+    standingOrder.restoreRuns(entry);
+  }
+
   boolean hasAdapter(String adapter) {
     return entries.values().stream().anyMatch(entry -> entry.request().adapter().equals(adapter));
   }
--- a/core/src/main/java/org/lentilhinge/permit/StandingOrder.java
+++ b/core/src/main/java/org/lentilhinge/permit/StandingOrder.java
@@ -162,6 +162,10 @@
     runs.recordRefusal(entry);
   }
 
+  void restoreRuns(QueueEntry entry) {
+    runs.restore(entry);
+  }
+
   void recordPermit(QueueEntry entry) {
     runs.recordPermit(entry);
   }
--- a/core/src/test/java/org/lentilhinge/permit/LoadAheadTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/LoadAheadTest.java
@@ -76,6 +76,7 @@
     for (String name : RESIDENT) {
       fresh.scheduler.submit("h", fresh.request(name, Optional.empty()), 0);
     }
+    assertTrue(fresh.scheduler.submit("h", fresh.request("w", 100), 10).isEmpty());
     PermitAnswer answer = answer(fresh.scheduler.submit("h", fresh.request("x", 100), 10));
     assertEquals(answer.reason(), "no-room");
   }
