Refuse requests larger than an engine's memory, and sum token counts as longs

Callers may state up to 999,999,999 tokens. The first request at an engine always fits, so that the stated prefill of such a request blocked the engine for hours, and sums of such counts overflowed.

The sums are longs.

--- a/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
@@ -171,6 +171,9 @@
    * @return a refusal if the request cannot be served in time, else the commands to carry out
    */
   public List<EngineCommand> submit(String host, PermitRequest request, long nowMillis) {
+    if (admission.isTooLarge(request)) {
+      return List.of(admission.refuseTooLarge(host, request, nowMillis));
+    }
     recordDemand(request, nowMillis);
     if (isUnreachable(nowMillis)) {
       return List.of(
--- a/core/src/main/java/org/lentilhinge/permit/MemoryReservation.java
+++ b/core/src/main/java/org/lentilhinge/permit/MemoryReservation.java
@@ -33,12 +33,12 @@
       run = 0;
       reservedTokens = 0;
     }
-    int tokens = RunningRequests.tokens(request);
+    long tokens = RunningRequests.tokens(request);
     if (tokens < memoryTokens * LARGE_PART) {
       return;
     }
     run++;
-    int neededTokens = Math.min(memoryTokens, tokens);
+    int neededTokens = (int) Math.min(memoryTokens, tokens);
     if (run >= MAXIMUM_RUN && neededTokens >= reservedTokens) {
       reservedTokens = neededTokens;
       endAtMillis = Math.max(endAtMillis, nowMillis + request.remainingMillis());
@@ -47,7 +47,7 @@
 
   /** Ends the run, and the reservation if the request is as large as the one it was made for. */
   void recordPermit(PermitRequest request) {
-    int tokens = RunningRequests.tokens(request);
+    long tokens = RunningRequests.tokens(request);
     if (tokens >= memoryTokens * LARGE_PART && tokens >= reservedTokens) {
       run = 0;
       reservedTokens = 0;
--- a/core/src/main/java/org/lentilhinge/permit/PromptBacklog.java
+++ b/core/src/main/java/org/lentilhinge/permit/PromptBacklog.java
@@ -66,7 +66,7 @@
         || remainingMillis + promptTokens / tokensPerMillisecond <= limitMillis;
   }
 
-  long prefillMillis(int promptTokens) {
+  long prefillMillis(long promptTokens) {
     return Math.round(promptTokens / tokensPerMillisecond);
   }
 
--- a/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
+++ b/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
@@ -23,6 +23,7 @@
   private static final double WAIT_MARGIN = 1.25;
 
   private static final String NO_ROOM = "no-room";
+  private static final String TOO_LARGE = "too-large";
 
   private final SchedulerSettings settings;
   private final AdapterSlots slots;
@@ -42,6 +43,17 @@
     this.reservation = new MemoryReservation(settings.memoryTokens());
   }
 
+  /** Returns whether a request can never run at this engine. */
+  boolean isTooLarge(PermitRequest request) {
+    return RunningRequests.tokens(request) > settings.maximumRequestTokens();
+  }
+
+  /** Refuses a request that can never run at this engine. */
+  EngineCommand refuseTooLarge(String host, PermitRequest request, long nowMillis) {
+    long retryMillis = expectedWaitMillis(request, nowMillis);
+    return EngineCommand.Answer.refusal(host, request, retryMillis, TOO_LARGE, 0);
+  }
+
   /**
    * Adds a request to the queue, or refuses it or waiting ones if not all can be served in time.
    *
@@ -111,7 +123,7 @@
    */
   private List<QueueEntry> candidates(List<QueueEntry> sorted, QueueEntry added, long nowMillis) {
     Set<String> absent = new HashSet<>();
-    int tokensAhead = 0;
+    long tokensAhead = 0;
     boolean affected = false;
     for (int index = 0; index < sorted.size(); index++) {
       QueueEntry entry = sorted.get(index);
@@ -240,7 +252,7 @@
         : prefillMillis;
   }
 
-  private long backlogWaitMillis(int tokensAhead, long nowMillis) {
+  private long backlogWaitMillis(long tokensAhead, long nowMillis) {
     return Math.max(0, prefillMillis(tokensAhead, nowMillis) - settings.backlogMillis());
   }
 
@@ -249,7 +261,7 @@
     return prefillMillis(queue.promptTokens(), nowMillis);
   }
 
-  private long prefillMillis(int tokensAhead, long nowMillis) {
+  private long prefillMillis(long tokensAhead, long nowMillis) {
     return backlog.remainingMillis(nowMillis) + backlog.prefillMillis(tokensAhead);
   }
 
--- a/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
+++ b/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
@@ -123,7 +123,7 @@
     return absent.size();
   }
 
-  int promptTokens() {
-    return entries.values().stream().mapToInt(entry -> entry.request().promptTokens()).sum();
+  long promptTokens() {
+    return entries.values().stream().mapToLong(entry -> entry.request().promptTokens()).sum();
   }
 }
--- a/core/src/main/java/org/lentilhinge/permit/RunningRequests.java
+++ b/core/src/main/java/org/lentilhinge/permit/RunningRequests.java
@@ -12,7 +12,7 @@
   private static final double MILLIS_PER_TOKEN = 12;
 
   private final Map<String, Running> running = new LinkedHashMap<>();
-  private int tokens;
+  private long tokens;
 
   /**
    * A request that has a permit.
@@ -77,7 +77,7 @@
         .orElse(0);
   }
 
-  static int tokens(PermitRequest request) {
-    return request.promptTokens() + request.outputTokens();
+  static long tokens(PermitRequest request) {
+    return (long) request.promptTokens() + request.outputTokens();
   }
 }
--- a/core/src/main/java/org/lentilhinge/permit/SchedulerSettings.java
+++ b/core/src/main/java/org/lentilhinge/permit/SchedulerSettings.java
@@ -18,4 +18,15 @@
    * measured times to the first event correct it. It is the speed of the engines that users run.
    */
   public static final double INITIAL_TOKENS_PER_MILLISECOND = 22;
+
+  /** The usable fraction of an engine's memory; the rest is left for growing responses. */
+  public static final double USABLE_MEMORY_FRACTION = 0.9;
+
+  /**
+   * Returns the largest number of prompt and output tokens of one request. The platform's engines
+   * reject a request that exceeds their whole memory as if they were full, so it can never run.
+   */
+  long maximumRequestTokens() {
+    return (long) Math.ceil((memoryTokens + 1L) / USABLE_MEMORY_FRACTION) - 1;
+  }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineSchedulers.java
@@ -40,9 +40,6 @@
    */
   private static final long MAXIMUM_PREFILL_MILLIS = 120;
 
-  /** The usable fraction of an engine's memory; the rest is left for growing responses. */
-  private static final double USABLE_MEMORY_FRACTION = 0.9;
-
   /**
    * The longest gap between two ticks after which this host still relies on its ownership, in
    * milliseconds. During a longer pause of the process other hosts may have taken over.
@@ -263,7 +260,7 @@
     SchedulerSettings settings =
         new SchedulerSettings(
             capacity.get().batchSlots(),
-            (int) (capacity.get().memoryTokens() * USABLE_MEMORY_FRACTION),
+            (int) (capacity.get().memoryTokens() * SchedulerSettings.USABLE_MEMORY_FRACTION),
             capacity.get().adapterSlots(),
             MAXIMUM_CONCURRENT_LOADS,
             MAXIMUM_PREFILL_MILLIS);
