Refund at most the units that another host's reports have added

A receiver subtracted every refund that a host reported, also of units admitted before its first report or during a silence, which were never added. Such refunds lowered the debt for units of other hosts.

The units added since the first report are now kept for each host and customer, and no more is subtracted. onlyUnitsThatWereAddedAreRefunded fails before this change; AllowanceAccountsTest and AllowanceSimulationTest pass with it.

--- a/core/src/main/java/org/lentilhinge/allowance/HostUse.java
+++ b/core/src/main/java/org/lentilhinge/allowance/HostUse.java
@@ -12,11 +12,20 @@
    */
   private static final long SILENCE_MILLIS = 1_000;
 
-  private final Map<String, AllowanceUse> counters = new HashMap<>();
+  private final Map<String, Counters> counters = new HashMap<>();
   private long life;
   private long formerLife;
   private long heardAtMillis;
 
+  /**
+   * The latest counters of a customer.
+   *
+   * @param use the reported use
+   * @param addedUnits the units added to the debt since the first of these reports, without those
+   *     refunded; no more can be refunded, because what was admitted before was not added
+   */
+  private record Counters(AllowanceUse use, double addedUnits) {}
+
   /**
    * What was counted since the last report.
    *
@@ -56,24 +65,23 @@
    *     report is known
    */
   Increase increase(AllowanceUse use, double firstFraction) {
-    AllowanceUse former = counters.get(use.customer());
-    if (former == null) {
-      counters.put(use.customer(), use);
+    Counters last = counters.get(use.customer());
+    if (last == null) {
       double units = Math.min(use.admitted() - use.refunded(), use.lastSecond()) * firstFraction;
+      counters.put(use.customer(), new Counters(use, units));
       return new Increase(units, units, 0);
     }
+    AllowanceUse former = last.use();
     // Two relays pass on the same reports, the slower one after a newer report of the other one.
     long admitted = Math.max(former.admitted(), use.admitted());
     long refunded = Math.max(former.refunded(), use.refunded());
     long requested = Math.max(former.requested(), use.requested());
-    counters.put(
-        use.customer(), new AllowanceUse(use.customer(), admitted, refunded, requested, 0));
     long admittedSince = admitted - former.admitted();
     long requestedSince = requested - former.requested();
-    return new Increase(
-        admittedSince - (refunded - former.refunded()),
-        requestedSince,
-        Math.max(0, requestedSince - admittedSince));
+    double units = Math.max(-last.addedUnits(), admittedSince - (refunded - former.refunded()));
+    AllowanceUse latest = new AllowanceUse(use.customer(), admitted, refunded, requested, 0);
+    counters.put(use.customer(), new Counters(latest, last.addedUnits() + units));
+    return new Increase(units, requestedSince, Math.max(0, requestedSince - admittedSince));
   }
 
   long heardAtMillis() {
--- a/core/src/test/java/org/lentilhinge/allowance/AllowanceAccountsTest.java
+++ b/core/src/test/java/org/lentilhinge/allowance/AllowanceAccountsTest.java
@@ -83,6 +83,25 @@
     assertEquals(debt(accounts, LATER), 150, 0);
   }
 
+  // Refunds of what another host had admitted before its first report lowered the debt of others.
+  @Test
+  public void onlyUnitsThatWereAddedAreRefunded() {
+    AllowanceAccounts accounts = accounts(100, 1_000);
+    accounts.admit("acme", 300, LATER);
+    accounts.receive("h", report(7, 500, 100), LATER);
+    accounts.receive("h", refundReport(500, 400), LATER);
+    assertEquals(debt(accounts, LATER), 300, 0);
+    accounts.receive("h", refundReport(550, 470), LATER);
+    assertEquals(debt(accounts, LATER), 300, 0);
+    accounts.receive("h", refundReport(600, 480), LATER);
+    assertEquals(debt(accounts, LATER), 340, 0);
+  }
+
+  private static AllowanceReport refundReport(long admitted, long refunded) {
+    AllowanceUse use = new AllowanceUse("acme", admitted, refunded, admitted, 0);
+    return new AllowanceReport(7, 1, List.of(use));
+  }
+
   // After a partition, all that the other side had used was owed at once.
   @Test
   public void onlyTheLastSecondCountsAfterSilence() {
