Drop the accounts of silent hosts and of customers that are no longer declared

The counters of each host and the account of each customer that had ever been seen were kept until the process ended.

Hosts that have not been heard for ten minutes and customers that have not been declared for ten minutes are dropped. The counters of a customer start at 0 after that, so receivers forget them after a window without the declaration.

--- a/core/src/main/java/org/lentilhinge/allowance/AllowanceAccounts.java
+++ b/core/src/main/java/org/lentilhinge/allowance/AllowanceAccounts.java
@@ -38,6 +38,14 @@
   /** The time after the start over which the use before the start counts, in milliseconds. */
   private static final double FIRST_SECOND_MILLIS = 1_000;
 
+  /**
+   * The time for which hosts that are silent and customers that are not declared are remembered, in
+   * milliseconds: that for which lost hosts are remembered. The counters of a customer that is
+   * declared again then start at 0, which the other hosts accept because they have forgotten its
+   * former counters after a window.
+   */
+  private static final long RETENTION_MILLIS = 600_000;
+
   private final AllowanceBounds bounds;
   private final long life;
   private final long startedAtMillis;
@@ -46,6 +54,10 @@
   private final Map<String, CustomerAccount> declared = new LinkedHashMap<>();
   private final Map<String, AllowanceUse> reported = new HashMap<>();
   private final Map<String, HostUse> others = new HashMap<>();
+
+  /** The times since which customers with an account have not been declared. */
+  private final Map<String, Long> undeclared = new HashMap<>();
+
   private boolean configured;
   private boolean limited;
   private long reportedAtMillis = Long.MIN_VALUE / 2;
@@ -95,6 +107,10 @@
       }
       declared.put(customer.name(), account);
     }
+    undeclared.keySet().removeAll(declared.keySet());
+    accounts.keySet().stream()
+        .filter(name -> !declared.containsKey(name))
+        .forEach(name -> undeclared.putIfAbsent(name, nowMillis));
     configured = true;
   }
 
@@ -169,17 +185,45 @@
   }
 
   /**
-   * Determines the share of the quotas. Must be called several times per second.
+   * Determines the share of the quotas, and drops hosts and customers that are no longer
+   * remembered. Must be called several times per second.
    *
    * @param hosts the number of hosts that share the quotas, as far as this host knows
    * @param nowMillis the current time
    */
   public void setHosts(int hosts, long nowMillis) {
+    dropForgotten(nowMillis);
     if (limited) {
       changeShare(() -> quotaShare.update(hosts, nowMillis), nowMillis);
     }
   }
 
+  private void dropForgotten(long nowMillis) {
+    others.values().removeIf(other -> nowMillis - other.heardAtMillis() > RETENTION_MILLIS);
+    undeclared.forEach(
+        (name, sinceMillis) -> {
+          if (nowMillis - sinceMillis > bounds.windowMillis()) {
+            others.values().forEach(other -> other.forget(name));
+          }
+        });
+    long retentionMillis = Math.max(RETENTION_MILLIS, bounds.windowMillis());
+    undeclared.values().removeIf(sinceMillis -> nowMillis - sinceMillis > retentionMillis);
+    accounts
+        .keySet()
+        .removeIf(name -> !declared.containsKey(name) && !undeclared.containsKey(name));
+    reported.keySet().retainAll(accounts.keySet());
+  }
+
+  /** Returns the number of hosts whose counters are kept. */
+  int rememberedHosts() {
+    return others.size();
+  }
+
+  /** Returns the number of customers with an account or reported counters. */
+  int rememberedCustomers() {
+    return Math.max(accounts.size(), reported.size());
+  }
+
   private void changeShare(Runnable change, long nowMillis) {
     double former = share();
     change.run();
--- a/core/src/main/java/org/lentilhinge/allowance/HostUse.java
+++ b/core/src/main/java/org/lentilhinge/allowance/HostUse.java
@@ -84,6 +84,11 @@
     return new Increase(units, requestedSince, Math.max(0, requestedSince - admittedSince));
   }
 
+  /** Forgets the counters of a customer; its next report counts as the first one. */
+  void forget(String customer) {
+    counters.remove(customer);
+  }
+
   long heardAtMillis() {
     return heardAtMillis;
   }
--- a/core/src/test/java/org/lentilhinge/allowance/AllowanceAccountsTest.java
+++ b/core/src/test/java/org/lentilhinge/allowance/AllowanceAccountsTest.java
@@ -138,6 +138,37 @@
     assertEquals(accounts.relativeUse("acme", LATER), 1, 1e-9);
   }
 
+  // Each host and each customer that had ever been seen was kept until the process ended.
+  @Test
+  public void silentHostsAndUndeclaredCustomersAreForgotten() {
+    AllowanceAccounts accounts = accounts(100, 1_000);
+    accounts.admit("acme", 10, LATER);
+    accounts.report(1, LATER);
+    accounts.receive("h", report(7, 500, 100), LATER);
+    accounts.apply(List.of(), LATER);
+    accounts.setHosts(1, LATER + 600_000);
+    assertEquals(accounts.rememberedHosts(), 1);
+    assertEquals(accounts.rememberedCustomers(), 1);
+    accounts.setHosts(1, LATER + 600_001);
+    assertEquals(accounts.rememberedHosts(), 0);
+    assertEquals(accounts.rememberedCustomers(), 0);
+  }
+
+  // The counters of a customer that is declared anew start at 0 and would count as late reports.
+  @Test
+  public void countersOfCustomerDeclaredAnewAreAddedFromTheirStart() {
+    AllowanceAccounts accounts = accounts(100, 1_000);
+    accounts.receive("h", report(7, 500, 0), LATER);
+    accounts.apply(List.of(), LATER);
+    for (long now = LATER; now <= LATER + 9_000; now += 500) {
+      accounts.receive("h", new AllowanceReport(7, 1, List.of()), now);
+      accounts.setHosts(1, now);
+    }
+    accounts.apply(customer(100, 1_000), LATER + 9_000);
+    accounts.receive("h", report(7, 40, 40), LATER + 9_000);
+    assertEquals(debt(accounts, LATER + 9_000), 40, 0);
+  }
+
   // A host that had not heard from others used the whole quota in addition to theirs.
   @Test
   public void shareFollowsTheHostsThatAreHeard() {
