--- a/core/src/main/java/org/lentilhinge/permit/MemoryReservation.java
+++ b/core/src/main/java/org/lentilhinge/permit/MemoryReservation.java
@@ -24,22 +24,30 @@
     this.memoryTokens = memoryTokens;
   }
 
-  /** Records a refusal. The reservation lasts as long as the caller may return. */
+  /**
+   * Records a refusal for want of memory or prefill. The reservation lasts as long as the callers
+   * of the requests that need all of it may return.
+   */
   void recordRefusal(PermitRequest request, long nowMillis) {
-    int tokens = RunningRequests.tokens(request);
+    if (reservedTokens > 0 && nowMillis >= endAtMillis) {
+      run = 0;
+      reservedTokens = 0;
+    }
+    long tokens = RunningRequests.tokens(request);
     if (tokens < memoryTokens * LARGE_PART) {
       return;
     }
     run++;
-    if (run >= MAXIMUM_RUN) {
-      reservedTokens = Math.max(reservedTokens, Math.min(memoryTokens, tokens));
-      endAtMillis = nowMillis + request.remainingMillis();
+    int neededTokens = (int) Math.min(memoryTokens, tokens);
+    if (run >= MAXIMUM_RUN && neededTokens >= reservedTokens) {
+      reservedTokens = neededTokens;
+      endAtMillis = Math.max(endAtMillis, nowMillis + request.remainingMillis());
     }
   }
 
   /** Ends the run, and the reservation if the request is as large as the one it was made for. */
   void recordPermit(PermitRequest request) {
-    int tokens = RunningRequests.tokens(request);
+    long tokens = RunningRequests.tokens(request);
     if (tokens >= memoryTokens * LARGE_PART && tokens >= reservedTokens) {
       run = 0;
       reservedTokens = 0;
--- a/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
+++ b/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
@@ -23,6 +23,7 @@
   private static final double WAIT_MARGIN = 1.25;
 
   private static final String NO_ROOM = "no-room";
+  private static final String TOO_LARGE = "too-large";
 
   private final SchedulerSettings settings;
   private final AdapterSlots slots;
@@ -42,6 +43,17 @@
     this.reservation = new MemoryReservation(settings.memoryTokens());
   }
 
+  /** Returns whether a request can never run at this engine. */
+  boolean isTooLarge(PermitRequest request) {
+    return RunningRequests.tokens(request) > settings.maximumRequestTokens();
+  }
+
+  /** Refuses a request that can never run at this engine. */
+  EngineCommand refuseTooLarge(String host, PermitRequest request, long nowMillis) {
+    long retryMillis = expectedWaitMillis(request, nowMillis);
+    return EngineCommand.Answer.refusal(host, request, retryMillis, TOO_LARGE, 0);
+  }
+
   /**
    * Adds a request to the queue, or refuses it or waiting ones if not all can be served in time.
    *
@@ -54,18 +66,33 @@
       return admitByStanding(added, nowMillis);
     }
     long waitMillis = expectedWaitMillis(request, nowMillis);
-    if (isLate(added, waitMillis, nowMillis)) {
+    long boundedMillis =
+        isFirstForSlot(added) ? backlogWaitMillis(queue.promptTokens(), nowMillis) : waitMillis;
+    if (isLate(added, boundedMillis, nowMillis)) {
       return List.of(added.refusal(waitMillis, NO_ROOM, nowMillis));
     }
     queue.add(added);
     return List.of();
   }
 
+  /**
+   * Returns whether a request that states its longest wait is for the only adapter without a slot.
+   * Its slot wait does not count: the estimate is corrected only by requests that wait, and slots
+   * are freed only for these, so that an estimate above the stated waits would last forever.
+   */
+  private static boolean isFirstForSlot(QueueEntry added) {
+    return added.slotsAhead() == 0
+        && QueueEntry.maximumWaitMillis(added.request()) < Long.MAX_VALUE;
+  }
+
   private List<EngineCommand> admitByStanding(QueueEntry added, long nowMillis) {
     queue.add(added);
     List<QueueEntry> refused = selectRefused(added, nowMillis);
     List<EngineCommand> refusals = new ArrayList<>();
     for (QueueEntry entry : refused) {
+      if (entry.equals(added)) {
+        queue.restoreRuns(entry);
+      }
       queue.remove(entry.key());
       String reason = entry.equals(added) ? NO_ROOM : PermitAnswer.DISPLACED;
       refusals.add(refuse(entry, reason, nowMillis));
@@ -96,7 +123,7 @@
    */
   private List<QueueEntry> candidates(List<QueueEntry> sorted, QueueEntry added, long nowMillis) {
     Set<String> absent = new HashSet<>();
-    int tokensAhead = 0;
+    long tokensAhead = 0;
     boolean affected = false;
     for (int index = 0; index < sorted.size(); index++) {
       QueueEntry entry = sorted.get(index);
@@ -119,14 +146,16 @@
 
   /**
    * Returns the expected wait for a slot of the first request for an adapter without one. Further
-   * requests for the adapter use the same slot.
+   * requests for the adapter use the same slot. The first adapter counts as one without a wait, so
+   * that one always waits and corrects the estimate.
    */
   private long slotWaitMillis(QueueEntry entry, Set<String> absent) {
     String adapter = entry.request().adapter();
     if (!isWithoutSlot(entry) || slots.available() > 0 || !absent.add(adapter)) {
       return 0;
     }
-    return slotWaits.expectedWaitMillis(absent.size() - 1);
+    int slotsAhead = absent.size() - 1;
+    return slotsAhead == 0 ? 0 : slotWaits.expectedWaitMillis(slotsAhead);
   }
 
   private boolean isWithoutSlot(QueueEntry entry) {
@@ -134,6 +163,11 @@
     return !adapter.isEmpty() && slots.find(adapter).isEmpty();
   }
 
+  private boolean isAdapterLoaded(String adapter) {
+    return adapter.isEmpty()
+        || slots.find(adapter).filter(slot -> slot.state == AdapterSlot.State.RESIDENT).isPresent();
+  }
+
   /** Returns the requests without which an adapter less waits for a slot, and the last one. */
   private List<QueueEntry> slotCandidates(List<QueueEntry> ahead) {
     Map<String, Integer> counts = new HashMap<>();
@@ -169,7 +203,10 @@
       return entry.refusal(waitMillis, reason, nowMillis);
     }
     queue.recordRefusal(entry);
-    reservation.recordRefusal(entry.request(), nowMillis);
+    if (isAdapterLoaded(entry.request().adapter())) {
+      // Free memory would not have served a request whose adapter is absent or still loads.
+      reservation.recordRefusal(entry.request(), nowMillis);
+    }
     double intervalMillis = serviceRate.millisPerPermit();
     if (intervalMillis == 0) {
       intervalMillis = backlog.prefillMillis(entry.request().promptTokens());
@@ -215,7 +252,7 @@
         : prefillMillis;
   }
 
-  private long backlogWaitMillis(int tokensAhead, long nowMillis) {
+  private long backlogWaitMillis(long tokensAhead, long nowMillis) {
     return Math.max(0, prefillMillis(tokensAhead, nowMillis) - settings.backlogMillis());
   }
 
@@ -224,7 +261,7 @@
     return prefillMillis(queue.promptTokens(), nowMillis);
   }
 
-  private long prefillMillis(int tokensAhead, long nowMillis) {
+  private long prefillMillis(long tokensAhead, long nowMillis) {
     return backlog.remainingMillis(nowMillis) + backlog.prefillMillis(tokensAhead);
   }
 
--- a/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
+++ b/core/src/main/java/org/lentilhinge/permit/RequestQueue.java
@@ -101,6 +101,11 @@
     standingOrder.recordRefusal(entry);
   }
 
+  /** Restores the runs of refusals that a waiting request ended when it arrived. */
+  void restoreRuns(QueueEntry entry) {
+    standingOrder.restoreRuns(entry);
+  }
+
   boolean hasAdapter(String adapter) {
     return entries.values().stream().anyMatch(entry -> entry.request().adapter().equals(adapter));
   }
@@ -118,7 +123,7 @@
     return absent.size();
   }
 
-  int promptTokens() {
-    return entries.values().stream().mapToInt(entry -> entry.request().promptTokens()).sum();
+  long promptTokens() {
+    return entries.values().stream().mapToLong(entry -> entry.request().promptTokens()).sum();
   }
 }
--- a/core/src/test/java/org/lentilhinge/allowance/AllowanceAccountsTest.java
+++ b/core/src/test/java/org/lentilhinge/allowance/AllowanceAccountsTest.java
@@ -83,6 +83,25 @@
     assertEquals(debt(accounts, LATER), 150, 0);
   }
 
+  // Refunds of what another host had admitted before its first report lowered the debt of others.
+  @Test
+  public void onlyUnitsThatWereAddedAreRefunded() {
+    AllowanceAccounts accounts = accounts(100, 1_000);
+    accounts.admit("acme", 300, LATER);
+    accounts.receive("h", report(7, 500, 100), LATER);
+    accounts.receive("h", refundReport(500, 400), LATER);
+    assertEquals(debt(accounts, LATER), 300, 0);
+    accounts.receive("h", refundReport(550, 470), LATER);
+    assertEquals(debt(accounts, LATER), 300, 0);
+    accounts.receive("h", refundReport(600, 480), LATER);
+    assertEquals(debt(accounts, LATER), 340, 0);
+  }
+
+  private static AllowanceReport refundReport(long admitted, long refunded) {
+    AllowanceUse use = new AllowanceUse("acme", admitted, refunded, admitted, 0);
+    return new AllowanceReport(7, 1, List.of(use));
+  }
+
   // After a partition, all that the other side had used was owed at once.
   @Test
   public void onlyTheLastSecondCountsAfterSilence() {
@@ -119,6 +138,37 @@
     assertEquals(accounts.relativeUse("acme", LATER), 1, 1e-9);
   }
 
+  // Each host and each customer that had ever been seen was kept until the process ended.
+  @Test
+  public void silentHostsAndUndeclaredCustomersAreForgotten() {
+    AllowanceAccounts accounts = accounts(100, 1_000);
+    accounts.admit("acme", 10, LATER);
+    accounts.report(1, LATER);
+    accounts.receive("h", report(7, 500, 100), LATER);
+    accounts.apply(List.of(), LATER);
+    accounts.setHosts(1, LATER + 600_000);
+    assertEquals(accounts.rememberedHosts(), 1);
+    assertEquals(accounts.rememberedCustomers(), 1);
+    accounts.setHosts(1, LATER + 600_001);
+    assertEquals(accounts.rememberedHosts(), 0);
+    assertEquals(accounts.rememberedCustomers(), 0);
+  }
+
+  // The counters of a customer that is declared anew start at 0 and would count as late reports.
+  @Test
+  public void countersOfCustomerDeclaredAnewAreAddedFromTheirStart() {
+    AllowanceAccounts accounts = accounts(100, 1_000);
+    accounts.receive("h", report(7, 500, 0), LATER);
+    accounts.apply(List.of(), LATER);
+    for (long now = LATER; now <= LATER + 9_000; now += 500) {
+      accounts.receive("h", new AllowanceReport(7, 1, List.of()), now);
+      accounts.setHosts(1, now);
+    }
+    accounts.apply(customer(100, 1_000), LATER + 9_000);
+    accounts.receive("h", report(7, 40, 40), LATER + 9_000);
+    assertEquals(debt(accounts, LATER + 9_000), 40, 0);
+  }
+
   // A host that had not heard from others used the whole quota in addition to theirs.
   @Test
   public void shareFollowsTheHostsThatAreHeard() {
