Release the last write of a connection that is cut as the largest holder

Cause: CallerConnection.write counts its bytes before it sends them. If they make the connection the largest holder, it is cut within the count, and the message is dropped without taking its bytes back. The gauge slow-callers kept them, and the connection was reported as stalled at every check. Change: write takes the bytes back if the connection was closed meanwhile, and a connection is reported as cut only once.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -61,6 +61,7 @@
   private final SlowCallers.Output output;
   private long unsentBytes;
   private boolean open = true;
+  private boolean aborted;
   private boolean closing;
   private boolean rejecting;
   private boolean discarding;
@@ -253,6 +254,10 @@
     int bytes = message instanceof HttpContent part ? part.content().readableBytes() : 0;
     if (open) {
       recordUnsent(bytes);
+      if (!open) {
+        // These bytes made this connection the largest holder, so that it was closed.
+        recordUnsent(-bytes);
+      }
     }
     if (open) {
       socket.writeMessage(message).onComplete(result -> recordUnsent(-bytes));
@@ -279,13 +284,19 @@
 
     @Override
     public void onStalled() {
-      server.memory().recordStalledCaller();
-      abort("caller-stalled");
+      if (!aborted) {
+        server.memory().recordStalledCaller();
+        abort("caller-stalled");
+      }
     }
   }
 
   /** Closes the connection without waiting for the caller to accept what was written. */
   private void abort(String reason) {
+    if (aborted) {
+      return;
+    }
+    aborted = true;
     server.onResponseCut(reason);
     socket.channelHandlerContext().close();
     onClosed();
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/MemoryBoundsTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/MemoryBoundsTest.java
@@ -346,4 +346,26 @@
       assertEquals(heldBytes(fixture, "slow-callers"), 0);
     }
   }
+
+  // The last write of a connection that was cut as the largest holder was counted for good, and the
+  // connection was reported as stalled again at every check.
+  @Test
+  public void bytesOfLargestHolderAreReleasedOnceItIsCut() throws IOException {
+    MemoryBounds bounds = new MemoryBounds(300_000, UNBOUNDED, UNBOUNDED, UNBOUNDED, UNBOUNDED);
+    ScriptedEndpoint endpoint = streamingEndpoint(1_000);
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()), bounds);
+        Socket caller = fixture.openNarrow()) {
+      write(caller, longRequest());
+      MetricRegistry metrics = fixture.context().metrics();
+      await(
+          () -> metrics.counter("forward.memory.bound.responses").getCount() > 0,
+          "the connection is cut");
+      fixture.closeExpiredConnections();
+      assertEquals(heldBytes(fixture, "slow-callers"), 0);
+      fixture.advance(15_100);
+      fixture.closeExpiredConnections();
+      fixture.closeExpiredConnections();
+      assertEquals(metrics.counter("forward.memory.stalled-callers").getCount(), 0);
+    }
+  }
 }
