Wait for responses not accepted yet when kept connections are closed

Cause: closeIfIdle and closeIfExpired closed a connection whose caller had not accepted a complete response yet, without counting it among the connections that are closing. A planned stop could end the process before it was sent. Change: both close the connection after the response, as for a last response. Result: PlannedStopTest.stopWaitsForUnsentResponseOnKeptConnection, which found 0 unfinished responses instead of 1 before.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -328,6 +328,9 @@
   }
 
   private void closeAfterResponse() {
+    if (!open) {
+      return;
+    }
     open = false;
     releaseBodies();
     // The socket is closed after the data written before has been sent.
@@ -349,14 +352,18 @@
             ? limits.headerTimeoutMillis() + limits.idleTimeoutMillis()
             : limits.idleTimeoutMillis();
     if (currentExchange.isEmpty() && nowMillis - lastActivityAtMillis > maximumIdleMillis) {
-      close();
+      // The caller may not have accepted the last response yet.
+      closeAfterResponse();
     }
   }
 
-  /** Closes the connection if no request is being received or in progress. */
+  /**
+   * Closes the connection if no request is being received or in progress, once the caller has
+   * accepted the last response.
+   */
   void closeIfIdle() {
     if (currentExchange.isEmpty() && incomingRequest.isEmpty()) {
-      close();
+      closeAfterResponse();
     }
   }
 
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/PlannedStopTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/PlannedStopTest.java
@@ -139,4 +139,32 @@
       }
     }
   }
+
+  // A response that a caller had not accepted yet was not waited for on a kept connection.
+  @Test
+  public void stopWaitsForUnsentResponseOnKeptConnection() throws IOException {
+    ScriptedEndpoint endpoint =
+        endpoint(
+            (socket, request) ->
+                socket.write(ForwardFixture.response("i", "x".repeat(LONG_BODY_BYTES))));
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()));
+        Socket caller = fixture.openNarrow()) {
+      String request = ForwardFixture.request("POST", "/unsafe/", "i", "");
+      write(caller, request.replace("Connection: close\r\n", ""));
+      byte[] start = new byte[1];
+      assertEquals(caller.getInputStream().read(start), 1);
+      assertEquals(fixture.requestsInFlight(), 0);
+      fixture.stop();
+      assertEquals(fixture.unfinishedResponses(), 1);
+      assertTrue(readAll(caller).length() > LONG_BODY_BYTES);
+      awaitFinished(fixture);
+    }
+  }
+
+  private static void awaitFinished(ForwardFixture fixture) {
+    long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+    while (fixture.unfinishedResponses() > 0) {
+      assertTrue(System.nanoTime() < endNanos, "a response is never regarded as sent");
+    }
+  }
 }
