Keep connections that read the rest of a refused body during a stop

Cause: a connection that had refused a body and dropped its rest had no request in progress. A planned stop closed it at once and did not wait for it, so that the caller got a reset in place of the 503. Change: it counts as unfinished until the body ends or 2 s have passed, and is not closed as idle before.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.Promise;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayDeque;
@@ -60,6 +61,10 @@
   private final ResponseMemory.Share unsent;
   private final SlowCallers.Output output;
   private long unsentBytes;
+
+  /** Completes when the rest of a refused body was read, or is not read any further. */
+  private final Promise<Void> discarded = Promise.promise();
+
   private boolean open = true;
   private boolean aborted;
   private boolean closing;
@@ -320,6 +325,7 @@
     currentExchange = Optional.empty();
     if (closing && discarding) {
       discardUntilMillis = lastActivityAtMillis + DISCARD_MILLIS;
+      server.onConnectionClosing(discarded.future());
     } else if (closing || server.isStopping()) {
       closeAfterResponse();
     } else {
@@ -332,6 +338,7 @@
       return;
     }
     open = false;
+    discarded.tryComplete();
     releaseBodies();
     // The socket is closed after the data written before has been sent.
     server.onConnectionClosing(socket.close());
@@ -342,7 +349,7 @@
   void closeIfExpired(long nowMillis) {
     if (discarding && currentExchange.isEmpty()) {
       if (nowMillis > discardUntilMillis) {
-        close();
+        closeAfterResponse();
       }
       return;
     }
@@ -359,10 +366,10 @@
 
   /**
    * Closes the connection if no request is being received or in progress, once the caller has
-   * accepted the last response.
+   * accepted the last response. The rest of a refused body is still read.
    */
   void closeIfIdle() {
-    if (currentExchange.isEmpty() && incomingRequest.isEmpty()) {
+    if (!discarding && currentExchange.isEmpty() && incomingRequest.isEmpty()) {
       closeAfterResponse();
     }
   }
@@ -390,6 +397,7 @@
       return;
     }
     open = false;
+    discarded.tryComplete();
     output.close();
     releaseBodies();
     server.onConnectionClosed(this);
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/PlannedStopTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/PlannedStopTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import org.lentilhinge.runtime.memory.MemoryBounds;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
@@ -167,4 +168,40 @@
       assertTrue(System.nanoTime() < endNanos, "a response is never regarded as sent");
     }
   }
+
+  // A caller that was still sending a refused body got a reset in place of the refusal.
+  @Test
+  public void stopWaitsForRestOfRefusedBody() throws IOException, InterruptedException {
+    CountDownLatch arrived = new CountDownLatch(1);
+    List<NetSocket> waiting = new CopyOnWriteArrayList<>();
+    ScriptedEndpoint endpoint =
+        endpoint(
+            (socket, request) -> {
+              waiting.add(socket);
+              arrived.countDown();
+            });
+    long unbounded = 1L << 40;
+    MemoryBounds bounds = new MemoryBounds(unbounded, 300_000, unbounded, unbounded, unbounded);
+    String request = ForwardFixture.request("POST", "/unsafe/", "i", "x".repeat(200_000));
+    try (ForwardFixture fixture = new ForwardFixture(vertx, List.of(endpoint.address()), bounds);
+        Socket first = fixture.open();
+        Socket sending = fixture.open();
+        Socket silent = fixture.open()) {
+      write(first, request);
+      assertTrue(arrived.await(10, TimeUnit.SECONDS));
+      for (Socket refused : List.of(sending, silent)) {
+        write(refused, request.substring(0, 1_000));
+        assertEquals(refused.getInputStream().read(), 'H');
+      }
+      waiting.get(0).write(ForwardFixture.response("i", "x"));
+      assertTrue(readAll(first).endsWith("x"));
+      fixture.stop();
+      assertEquals(fixture.unfinishedResponses(), 2);
+      write(sending, request.substring(1_000));
+      assertTrue(readAll(sending).startsWith("TTP/1.1 503"));
+      fixture.advance(2_100);
+      fixture.closeExpiredConnections();
+      awaitFinished(fixture);
+    }
+  }
 }
