Take a bandwidth share of 0 as none

Cause: RegionTrafficBudget recognized a bandwidth that is not stated by its product with the share. With region-bandwidth-share = 0 everything was allowed. Change: the bandwidth alone decides whether the budget is unbounded. Result: ZoneMeasurementTest.withoutPartOfTheBandwidthNothingMayLeave, which failed before.

--- a/core/src/main/java/org/lentilhinge/zone/RegionTrafficBudget.java
+++ b/core/src/main/java/org/lentilhinge/zone/RegionTrafficBudget.java
@@ -12,6 +12,7 @@
   /** The time whose bytes may be used at once: the peak of a burst of requests. */
   private static final double BURST_MILLIS = 1_000;
 
+  private final boolean unbounded;
   private final double regionBytesPerMilli;
   private double available;
   private long updatedAtMillis;
@@ -23,6 +24,7 @@
    * @param nowMillis the current time, in milliseconds
    */
   public RegionTrafficBudget(ZoneTrafficSettings settings, long nowMillis) {
+    unbounded = settings.regionBandwidth() == 0;
     regionBytesPerMilli =
         settings.regionBandwidth() * settings.regionBandwidthShare() * BYTES_PER_MILLI_AT_MEGABIT;
     updatedAtMillis = nowMillis;
@@ -36,7 +38,7 @@
    * @return whether bytes are left, or the bandwidth is not bounded
    */
   public boolean hasRoom(int hostCount, long nowMillis) {
-    if (regionBytesPerMilli == 0) {
+    if (unbounded) {
       return true;
     }
     double bytesPerMilli = regionBytesPerMilli / Math.max(1, hostCount);
@@ -53,7 +55,7 @@
    * @param bytes the bytes that it is expected to transfer
    */
   public void use(long bytes) {
-    if (regionBytesPerMilli > 0) {
+    if (!unbounded) {
       available -= bytes;
     }
   }
--- a/core/src/test/java/org/lentilhinge/zone/ZoneMeasurementTest.java
+++ b/core/src/test/java/org/lentilhinge/zone/ZoneMeasurementTest.java
@@ -101,4 +101,11 @@
     assertEquals(reports.changes(plan(0), 1_600).size(), 1);
     assertTrue(reports.changes(plan(0), 9_000).isEmpty());
   }
+
+  // A part of 0 was taken for a bandwidth that is not stated, so that all requests could leave.
+  @Test
+  public void withoutPartOfTheBandwidthNothingMayLeave() {
+    RegionTrafficBudget budget = new RegionTrafficBudget(new ZoneTrafficSettings(0, 0, 40, 0), 0);
+    assertFalse(budget.hasRoom(1, 10_000));
+  }
 }
