Limit the debt of the traffic between regions to one burst

Cause: the debt of RegionTrafficBudget had no floor, so that many requests at once closed the other region for as long as all of their bytes take. Change: the debt is at most one burst, or one request if that is larger. Result: ZoneMeasurementTest.debtIsAtMostOneBurstOrOneLargerRequest, which failed before.

--- a/core/src/main/java/org/lentilhinge/zone/RegionTrafficBudget.java
+++ b/core/src/main/java/org/lentilhinge/zone/RegionTrafficBudget.java
@@ -15,6 +15,7 @@
   private final boolean unbounded;
   private final double regionBytesPerMilli;
   private double available;
+  private double burst;
   private long updatedAtMillis;
 
   /**
@@ -43,20 +44,24 @@
     }
     double bytesPerMilli = regionBytesPerMilli / Math.max(1, hostCount);
     double filled = available + bytesPerMilli * Math.max(0, nowMillis - updatedAtMillis);
-    available = Math.min(filled, bytesPerMilli * BURST_MILLIS);
+    burst = bytesPerMilli * BURST_MILLIS;
+    available = Math.min(filled, burst);
     updatedAtMillis = nowMillis;
     return available > 0;
   }
 
   /**
    * Records that a request is sent to another region. The last one before the budget is used up may
-   * exceed it; the next ones wait until that is made up for.
+   * exceed it; the next ones wait until that is made up for. Requests that were chosen at the same
+   * time may exceed it by more; without a limit the region would be closed for as long as all of
+   * them take. The debt is therefore at most one burst, or one request if that is larger.
    *
    * @param bytes the bytes that it is expected to transfer
    */
   public void use(long bytes) {
     if (!unbounded) {
-      available -= bytes;
+      double lowest = -Math.max(burst, bytes);
+      available = Math.min(available, Math.max(available - bytes, lowest));
     }
   }
 }
--- a/core/src/test/java/org/lentilhinge/zone/ZoneMeasurementTest.java
+++ b/core/src/test/java/org/lentilhinge/zone/ZoneMeasurementTest.java
@@ -108,4 +108,21 @@
     RegionTrafficBudget budget = new RegionTrafficBudget(new ZoneTrafficSettings(0, 0, 40, 0), 0);
     assertFalse(budget.hasRoom(1, 10_000));
   }
+
+  // After many requests at once no request left the region until all of them were made up for.
+  @Test
+  public void debtIsAtMostOneBurstOrOneLargerRequest() {
+    // 500 bytes per millisecond.
+    RegionTrafficBudget budget = new RegionTrafficBudget(new ZoneTrafficSettings(0, 0, 40, 0.1), 0);
+    assertTrue(budget.hasRoom(1, 1_000));
+    for (int request = 0; request < 100; request++) {
+      budget.use(100_000);
+    }
+    assertFalse(budget.hasRoom(1, 1_999));
+    assertTrue(budget.hasRoom(1, 2_001));
+    budget.use(2_000_000);
+    budget.use(1_000);
+    assertFalse(budget.hasRoom(1, 5_900));
+    assertTrue(budget.hasRoom(1, 6_100));
+  }
 }
