Charge the traffic between regions when a request is sent

Cause: each choice of an endpoint was charged, before the permit. Requests that were refused and sent elsewhere used the bandwidth, too. Change: SendCheck.recordSent, called by EndpointTarget.recordSent, charges the budget. The counters of the choices stay as they are. Result: ZoneTrafficTest.onlyRequestsThatAreSentUseTheBandwidth, which failed before.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointChoice.java
@@ -42,7 +42,7 @@
     this.request = request;
     adapter = request.generation().map(RequestMetadata.Generation::adapter).orElse("");
     choiceHash = RendezvousHash.hash(request.requestId().orElse(""));
-    this.sendCheck = new SendCheck(state, context);
+    this.sendCheck = new SendCheck(state, context, request);
   }
 
   /** Returns the check that applies to each endpoint of the request. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointTarget.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EndpointTarget.java
@@ -79,7 +79,7 @@
   @Override
   public void recordSent() {
     sent = true;
-    sendCheck.recordBodySent(endpoint);
+    sendCheck.recordSent(endpoint);
     forwarder.paths().recordRequest(endpoint);
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/SendCheck.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/SendCheck.java
@@ -14,12 +14,14 @@
 
   private final HostState state;
   private final HostContext context;
+  private final RequestMetadata request;
   private Optional<String> softwareVersion = Optional.empty();
   private Optional<EndpointBodies.Body> body = Optional.empty();
 
-  SendCheck(HostState state, HostContext context) {
+  SendCheck(HostState state, HostContext context, RequestMetadata request) {
     this.state = state;
     this.context = context;
+    this.request = request;
   }
 
   /** Restricts the request to endpoints with a version of the software. */
@@ -37,8 +39,9 @@
     return body.filter(EndpointBodies.Body::isRefused).isPresent();
   }
 
-  /** Records that the body is being sent to an endpoint. */
-  void recordBodySent(FleetEndpoint endpoint) {
+  /** Records that the request is being sent to an endpoint. */
+  void recordSent(FleetEndpoint endpoint) {
+    state.zoneTraffic().recordSent(endpoint, request);
     body.ifPresent(sent -> sent.begin(endpoint.incarnation()));
   }
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ZoneTraffic.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ZoneTraffic.java
@@ -74,16 +74,14 @@
     }
   }
 
-  /** The choice of one request, which also records the zone that the request is sent to. */
+  /** The choice of one request, which also records the zone that is chosen. */
   static final class Choice {
     private final ZoneTraffic traffic;
     private final Optional<RequestZones> planned;
-    private final long bytes;
 
-    private Choice(ZoneTraffic traffic, Optional<RequestZones> planned, long bytes) {
+    private Choice(ZoneTraffic traffic, Optional<RequestZones> planned) {
       this.traffic = traffic;
       this.planned = planned;
-      this.bytes = bytes;
     }
 
     ZoneCosts zones() {
@@ -92,7 +90,7 @@
 
     /** Records the endpoint that was chosen last. */
     void record(FleetEndpoint endpoint) {
-      planned.ifPresent(zones -> traffic.recordChoice(endpoint, zones, bytes));
+      planned.ifPresent(zones -> traffic.recordChoice(endpoint, zones));
     }
   }
 
@@ -106,12 +104,12 @@
    */
   Choice choice(String service, boolean engineService, RequestMetadata request, long choiceHash) {
     if (settings.isEmpty()) {
-      return new Choice(this, Optional.empty(), 0);
+      return new Choice(this, Optional.empty());
     }
     long hash = request.requestId().isPresent() ? choiceHash : ++requestsWithoutId;
     long bytes = expectedBytes(request);
     RequestZones zones = new RequestZones(plan(service, engineService), bytes, hash, this::isOpen);
-    return new Choice(this, Optional.of(zones), bytes);
+    return new Choice(this, Optional.of(zones));
   }
 
   private static long expectedBytes(RequestMetadata request) {
@@ -200,10 +198,14 @@
     return String.format(Locale.ROOT, "%.2f", value);
   }
 
-  private void recordChoice(FleetEndpoint endpoint, RequestZones zones, long bytes) {
+  /** Records that a request is sent to an endpoint. */
+  void recordSent(FleetEndpoint endpoint, RequestMetadata request) {
     if (!isOwnRegion(endpoint.zone())) {
-      budget.use(bytes);
+      budget.use(expectedBytes(request));
     }
+  }
+
+  private void recordChoice(FleetEndpoint endpoint, RequestZones zones) {
     String reason = zones.reason(endpoint.zone()).name().toLowerCase(Locale.ROOT);
     context
         .metrics()
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ZoneTrafficTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ZoneTrafficTest.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,7 @@
 import org.lentilhinge.identity.DeclaredVersion;
 import org.lentilhinge.identity.StoreRevision;
 import org.lentilhinge.permit.EngineStatus;
+import org.lentilhinge.zone.RequestZones;
 import org.lentilhinge.zone.ZoneTrafficSettings;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -94,15 +96,7 @@
     }
 
     private String choose() {
-      RequestMetadata request =
-          new RequestMetadata(
-              Optional.of("r" + requests++),
-              OptionalLong.empty(),
-              Optional.empty(),
-              Optional.empty(),
-              Optional.empty(),
-              List.of(),
-              OptionalLong.empty());
+      RequestMetadata request = request("r" + requests++);
       return new EndpointChoice(state, context, "s", request).next().orElseThrow().id();
     }
 
@@ -129,15 +123,7 @@
     for (int connection = 0; connection < 5; connection++) {
       fixture.state.zoneTraffic().recordConnect(fixture.engine("far", "b"), 700, true);
     }
-    RequestMetadata request =
-        new RequestMetadata(
-            Optional.of("r"),
-            OptionalLong.empty(),
-            Optional.empty(),
-            Optional.empty(),
-            Optional.empty(),
-            List.of(),
-            OptionalLong.empty());
+    RequestMetadata request = request("r");
     assertSame(
         fixture.state.zoneTraffic().choice("s", true, request, 1).zones(),
         fixture.state.distances());
@@ -181,4 +167,38 @@
     fixture.state.zoneTraffic().recordConnect(fixture.engine("other", "b"), 0, false);
     assertFalse(fixture.choose(100).contains("far"));
   }
+
+  // Each choice was charged, also when no permit arrived and the request was sent elsewhere.
+  @Test
+  public void onlyRequestsThatAreSentUseTheBandwidth() {
+    ZoneTrafficSettings terms = new ZoneTrafficSettings(0, 0, 40, 0.1);
+    Fixture fixture = new Fixture(ForwardFixture.settings().withZoneTraffic(terms));
+    FleetEndpoint near = fixture.engine("near", "a");
+    FleetEndpoint far = fixture.engine("far", "other-region");
+    fixture.state.endpoints().updateFromListing(List.of(near, far), REVISION, 1_000);
+    fixture.now.addAndGet(1);
+    EndpointChoice choice = new EndpointChoice(fixture.state, fixture.context, "s", request("r"));
+    choice.exclude(near);
+    assertEquals(choice.next().orElseThrow().id(), "far");
+    assertTrue(mayLeave(fixture, near, far));
+    choice.sendCheck().recordSent(far);
+    assertFalse(mayLeave(fixture, near, far));
+  }
+
+  private static boolean mayLeave(Fixture fixture, FleetEndpoint near, FleetEndpoint far) {
+    RequestZones zones =
+        (RequestZones) fixture.state.zoneTraffic().choice("s", true, request("r"), 1).zones();
+    return zones.permitted(List.of(near, far), Set.of(), far::equals).contains(far);
+  }
+
+  private static RequestMetadata request(String id) {
+    return new RequestMetadata(
+        Optional.of(id),
+        OptionalLong.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        List.of(),
+        OptionalLong.empty());
+  }
 }
