Count engines without adapter slots as serving

Cause: EngineRoom took a status without adapters and available slots for that of an engine that does not respond. Engines of services without adapter slots have the same, so that their zones were never planned. Change: the backlog must also be the one that the scheduler states for an engine that does not respond. Result: ZoneTrafficPlannerTest.engineWithoutAdapterSlotsIsServing, which failed before.

--- a/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
@@ -14,7 +14,12 @@
  * A {@link RequestOrder} decides which waiting requests come first.
  */
 public final class EngineScheduler {
-  private static final long UNREACHABLE_BACKOFF_MILLIS = 1_000;
+
+  /**
+   * The time for which an engine that does not respond gets no requests, in milliseconds. Its
+   * status states it as the backlog.
+   */
+  public static final long UNREACHABLE_BACKOFF_MILLIS = 1_000;
 
   private static final String UNREACHABLE = "engine-unreachable";
   private static final String NO_OWNER = "no-holder";
--- a/core/src/main/java/org/lentilhinge/zone/EngineRoom.java
+++ b/core/src/main/java/org/lentilhinge/zone/EngineRoom.java
@@ -1,6 +1,7 @@
 package org.lentilhinge.zone;
 
 import java.util.Optional;
+import org.lentilhinge.permit.EngineScheduler;
 import org.lentilhinge.permit.EngineStatus;
 
 /**
@@ -58,8 +59,11 @@
       return new EngineRoom(zone, false, false, 0, 0, 0);
     }
     EngineStatus current = status.get();
-    // The scheduler states neither adapters nor slots of an engine that does not respond.
-    if (current.adapters().isEmpty() && current.availableSlots() == 0) {
+    // The scheduler states neither adapters nor slots of an engine that does not respond. Engines
+    // of services without adapter slots never have any, so that the backlog decides, too.
+    if (current.adapters().isEmpty()
+        && current.availableSlots() == 0
+        && current.backlogMillis() == EngineScheduler.UNREACHABLE_BACKOFF_MILLIS) {
       return new EngineRoom(zone, true, false, 0, 0, 0);
     }
     double waitMillis = current.backlogMillis();
--- a/core/src/test/java/org/lentilhinge/zone/ZoneTrafficPlannerTest.java
+++ b/core/src/test/java/org/lentilhinge/zone/ZoneTrafficPlannerTest.java
@@ -14,6 +14,7 @@
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.forward.ZoneDistances;
 import org.lentilhinge.identity.StoreRevision;
+import org.lentilhinge.permit.EngineScheduler;
 import org.lentilhinge.permit.EngineStatus;
 import org.testng.annotations.Test;
 
@@ -168,4 +169,16 @@
     assertEquals(closed.permitted(engines, Set.of(), loadedThere), List.of(here, there));
     assertEquals(closed.permitted(List.of(far), Set.of(), engine -> true), List.of(far));
   }
+
+  // Engines without adapter slots were taken for engines that do not respond.
+  @Test
+  public void engineWithoutAdapterSlotsIsServing() {
+    EngineStatus withoutSlots = new EngineStatus("e/1", true, List.of(), 10, 0, 0);
+    EngineRoom room = EngineRoom.of("a", Optional.of(withoutSlots));
+    assertTrue(room.serving());
+    assertEquals(room.spare(), 0.75, 1e-9);
+    long backoff = EngineScheduler.UNREACHABLE_BACKOFF_MILLIS;
+    EngineStatus unreachable = new EngineStatus("e/1", true, List.of(), backoff, 0, 0);
+    assertFalse(EngineRoom.of("a", Optional.of(unreachable)).serving());
+  }
 }
