Leave the requests of zones without a region unrestricted

Cause: a host whose zone is missing from the settings section [zones] got a plan with shares of 0. None of its requests left the zone in a shortage. Change: its plan is unrestricted, so that the costs decide. Result: ZoneTrafficPlannerTest.zoneWithoutRegionIsUnrestricted, which failed before.

--- a/core/src/main/java/org/lentilhinge/zone/ZoneTrafficPlanner.java
+++ b/core/src/main/java/org/lentilhinge/zone/ZoneTrafficPlanner.java
@@ -131,7 +131,8 @@
 
   private ZoneTrafficPlan plan(List<Party> senders, List<Party> receivers, ZonePrices prices) {
     ZoneCapacity own = zones.get(zone);
-    if (own == null || !own.isKnown()) {
+    // A zone without a region gets no flows, so that shares would keep all its requests.
+    if (own == null || !own.isKnown() || !regions.containsKey(zone)) {
       return ZoneTrafficPlan.unrestricted(zone, prices);
     }
     Map<String, Double> flows = new HashMap<>();
--- a/core/src/test/java/org/lentilhinge/zone/ZoneTrafficPlannerTest.java
+++ b/core/src/test/java/org/lentilhinge/zone/ZoneTrafficPlannerTest.java
@@ -181,4 +181,15 @@
     EngineStatus unreachable = new EngineStatus("e/1", true, List.of(), backoff, 0, 0);
     assertFalse(EngineRoom.of("a", Optional.of(unreachable)).serving());
   }
+
+  // The requests of a zone that the settings do not list could not leave it in a shortage.
+  @Test
+  public void zoneWithoutRegionIsUnrestricted() {
+    ZoneTrafficPlan plan =
+        new ZoneTrafficPlanner("unlisted", REGIONS)
+            .update(all(List.of(engines("unlisted", 350), engines("b", 0))), prices(), 0);
+    for (long hash = 0; hash < 100; hash++) {
+      assertTrue(plan.mayLeave("b", hash));
+    }
+  }
 }
