--- a/core/src/main/java/org/lentilhinge/zone/RegionTrafficBudget.java
+++ b/core/src/main/java/org/lentilhinge/zone/RegionTrafficBudget.java
@@ -12,8 +12,10 @@
   /** The time whose bytes may be used at once: the peak of a burst of requests. */
   private static final double BURST_MILLIS = 1_000;
 
+  private final boolean unbounded;
   private final double regionBytesPerMilli;
   private double available;
+  private double burst;
   private long updatedAtMillis;
 
   /**
@@ -23,6 +25,7 @@
    * @param nowMillis the current time, in milliseconds
    */
   public RegionTrafficBudget(ZoneTrafficSettings settings, long nowMillis) {
+    unbounded = settings.regionBandwidth() == 0;
     regionBytesPerMilli =
         settings.regionBandwidth() * settings.regionBandwidthShare() * BYTES_PER_MILLI_AT_MEGABIT;
     updatedAtMillis = nowMillis;
@@ -36,25 +39,29 @@
    * @return whether bytes are left, or the bandwidth is not bounded
    */
   public boolean hasRoom(int hostCount, long nowMillis) {
-    if (regionBytesPerMilli == 0) {
+    if (unbounded) {
       return true;
     }
     double bytesPerMilli = regionBytesPerMilli / Math.max(1, hostCount);
     double filled = available + bytesPerMilli * Math.max(0, nowMillis - updatedAtMillis);
-    available = Math.min(filled, bytesPerMilli * BURST_MILLIS);
+    burst = bytesPerMilli * BURST_MILLIS;
+    available = Math.min(filled, burst);
     updatedAtMillis = nowMillis;
     return available > 0;
   }
 
   /**
    * Records that a request is sent to another region. The last one before the budget is used up may
-   * exceed it; the next ones wait until that is made up for.
+   * exceed it; the next ones wait until that is made up for. Requests that were chosen at the same
+   * time may exceed it by more; without a limit the region would be closed for as long as all of
+   * them take. The debt is therefore at most one burst, or one request if that is larger.
    *
    * @param bytes the bytes that it is expected to transfer
    */
   public void use(long bytes) {
-    if (regionBytesPerMilli > 0) {
-      available -= bytes;
+    if (!unbounded) {
+      double lowest = -Math.max(burst, bytes);
+      available = Math.min(available, Math.max(available - bytes, lowest));
     }
   }
 }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.Promise;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayDeque;
@@ -60,7 +61,12 @@
   private final ResponseMemory.Share unsent;
   private final SlowCallers.Output output;
   private long unsentBytes;
+
+  /** Completes when the rest of a refused body was read, or is not read any further. */
+  private final Promise<Void> discarded = Promise.promise();
+
   private boolean open = true;
+  private boolean aborted;
   private boolean closing;
   private boolean rejecting;
   private boolean discarding;
@@ -253,6 +259,10 @@
     int bytes = message instanceof HttpContent part ? part.content().readableBytes() : 0;
     if (open) {
       recordUnsent(bytes);
+      if (!open) {
+        // These bytes made this connection the largest holder, so that it was closed.
+        recordUnsent(-bytes);
+      }
     }
     if (open) {
       socket.writeMessage(message).onComplete(result -> recordUnsent(-bytes));
@@ -279,13 +289,19 @@
 
     @Override
     public void onStalled() {
-      server.memory().recordStalledCaller();
-      abort("caller-stalled");
+      if (!aborted) {
+        server.memory().recordStalledCaller();
+        abort("caller-stalled");
+      }
     }
   }
 
   /** Closes the connection without waiting for the caller to accept what was written. */
   private void abort(String reason) {
+    if (aborted) {
+      return;
+    }
+    aborted = true;
     server.onResponseCut(reason);
     socket.channelHandlerContext().close();
     onClosed();
@@ -309,6 +325,7 @@
     currentExchange = Optional.empty();
     if (closing && discarding) {
       discardUntilMillis = lastActivityAtMillis + DISCARD_MILLIS;
+      server.onConnectionClosing(discarded.future());
     } else if (closing || server.isStopping()) {
       closeAfterResponse();
     } else {
@@ -317,7 +334,11 @@
   }
 
   private void closeAfterResponse() {
+    if (!open) {
+      return;
+    }
     open = false;
+    discarded.tryComplete();
     releaseBodies();
     // The socket is closed after the data written before has been sent.
     server.onConnectionClosing(socket.close());
@@ -328,7 +349,7 @@
   void closeIfExpired(long nowMillis) {
     if (discarding && currentExchange.isEmpty()) {
       if (nowMillis > discardUntilMillis) {
-        close();
+        closeAfterResponse();
       }
       return;
     }
@@ -338,14 +359,18 @@
             ? limits.headerTimeoutMillis() + limits.idleTimeoutMillis()
             : limits.idleTimeoutMillis();
     if (currentExchange.isEmpty() && nowMillis - lastActivityAtMillis > maximumIdleMillis) {
-      close();
+      // The caller may not have accepted the last response yet.
+      closeAfterResponse();
     }
   }
 
-  /** Closes the connection if no request is being received or in progress. */
+  /**
+   * Closes the connection if no request is being received or in progress, once the caller has
+   * accepted the last response. The rest of a refused body is still read.
+   */
   void closeIfIdle() {
-    if (currentExchange.isEmpty() && incomingRequest.isEmpty()) {
-      close();
+    if (!discarding && currentExchange.isEmpty() && incomingRequest.isEmpty()) {
+      closeAfterResponse();
     }
   }
 
@@ -372,6 +397,7 @@
       return;
     }
     open = false;
+    discarded.tryComplete();
     output.close();
     releaseBodies();
     server.onConnectionClosed(this);
