--- a/core/src/test/java/org/lentilhinge/zone/ZoneTrafficSimulation.java
+++ b/core/src/test/java/org/lentilhinge/zone/ZoneTrafficSimulation.java
@@ -29,6 +29,7 @@
   static final Map<String, String> REGIONS =
       Map.of("a", "north", "b", "north", "c", "north", "d", "south");
 
+  private static final String SERVICE = "s";
   private static final String ADAPTER = "hot";
   private static final long STATUS_INTERVAL_MILLIS = 200;
   private static final long STATUS_AGE_MILLIS = 400;
@@ -121,7 +122,7 @@
     return new FleetEndpoint(
         id,
         1,
-        "s",
+        SERVICE,
         "10.0.0.1:80",
         zone,
         EndpointState.READY,
@@ -170,7 +171,7 @@
                         Math.max(0, Math.round(busyUntil.get(engine.incarnation()) - now)),
                         3,
                         0)
-                    .withLoads(List.of(new AdapterLoad(ADAPTER, 6, 0.5))))
+                    .withLoads(List.of(new AdapterLoad(ADAPTER, 6, 0.5).withService(SERVICE))))
         .toList();
   }
 
