--- a/review/standin-2/EngineServer.java
+++ b/review/standin-2/EngineServer.java
@@ -34,6 +34,9 @@
 
   private record Report(long atNanos, String json) {}
 
+  /** An order that the server answered. */
+  record Order(double second, String holder, long fence, int status) {}
+
   final String id;
   private final StoreStandIn store;
   private final String service;
@@ -46,6 +49,7 @@
   private final Map<String, Held> held = new LinkedHashMap<>();
   private final Map<String, Long> coming = new LinkedHashMap<>();
   private final Deque<Report> reports = new ArrayDeque<>();
+  private final List<Order> orders = new ArrayList<>();
   private final Map<String, Integer> runsById = new HashMap<>();
   private long seq;
   private int running;
@@ -102,6 +106,11 @@
     return crashCause;
   }
 
+  /** Returns the orders that the server has carried out or that held already. */
+  synchronized List<Order> obeyedOrders() {
+    return orders.stream().filter(order -> order.status() == 202 || order.status() == 200).toList();
+  }
+
   synchronized int runs(String requestId) {
     return runsById.getOrDefault(requestId, 0);
   }
@@ -202,6 +211,12 @@
   /** Carries out an order; returns the status, or 0 if the server crashes. */
   private synchronized int order(String json) {
     int status = decide(json);
+    orders.add(
+        new Order(
+            record.seconds(),
+            field(json, "holder").orElse(""),
+            Long.parseLong(field(json, "fence").orElse("0")),
+            status));
     record.line("order    at " + id + " " + json + " -> " + (status == 0 ? "crash" : status));
     remember();
     return status;
