--- a/review/7/Case7.java
+++ b/review/7/Case7.java
@@ -5,38 +5,34 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A new version of an adapter is announced while a long report runs on the former one. */
+/** Three machines are lost, which the seeds of the machine that replaces one of them still name. */
 public final class Case7 {
 
   private static final String HOST = "drain.example";
   private static final int PLACES = 6;
-  private static final int ADAPTERS = 16;
-  private static final int SHORT_TOKENS = 24;
-  private static final int LONG_TOKENS = 558;
-  private static final long EVENT_MILLIS = 75;
-  private static final long TIMEOUT_MILLIS = 15_000;
-  private static final String LONG_ADAPTER = "a1";
-  private static final long SHORT_INTERVAL_MILLIS = 150;
-  private static final String[] ZONES = {"sofia-a", "sofia-b", "plovdiv-a"};
+  private static final long EVENT_MILLIS = 30;
+  private static final long LEASE_MILLIS = 3_000;
+  private static final long SEED_LAG_MILLIS = 3_000;
+  private static final long JOINING_MILLIS = 32_000;
+  private static final int ROUNDS = 7;
+  private static final long ROUND_MILLIS = 5_000;
+  private static final int SEEDS = 3;
+  private static final String[] ZONES = {
+    "sofia-a", "sofia-b", "plovdiv-a", "sofia-a", "sofia-b", "plovdiv-a", "sofia-a"
+  };
 
   private Case7() {}
 
   private static String configuration() {
-    String route =
-        "{\"name\":\"%s\",\"host\":\""
-            + HOST
-            + "\",\"prefix\":\"%s\",\"kind\":\"stream\",\"timeout_ms\":%d,"
-            + "\"target_latency_ms\":1000,\"priority\":%d,\"service\":\"report-llm\","
-            + "\"max_attempts\":1,\"sticky\":true,\"resumable\":false,\"gap_aim_ms\":400}";
-    return "{\"version\":3,\"routes\":["
-        + String.format(route, "r-report", "/report/", TIMEOUT_MILLIS, 0)
-        + ","
-        + String.format(route, "r-summary", "/summary/", 5_000, 1)
-        + "],\"services\":[{\"name\":\"report-llm\",\"health_path\":\"/health\","
+    return "{\"version\":3,\"routes\":[{\"name\":\"r-summary\",\"host\":\""
+        + HOST
+        + "\",\"prefix\":\"/summary/\",\"kind\":\"stream\",\"timeout_ms\":5000,"
+        + "\"target_latency_ms\":1000,\"priority\":1,\"service\":\"report-llm\","
+        + "\"max_attempts\":1,\"sticky\":true,\"resumable\":false,\"gap_aim_ms\":400}],"
+        + "\"services\":[{\"name\":\"report-llm\",\"health_path\":\"/health\","
         + "\"max_conns\":370,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,"
         + "\"kv_tokens\":148252,\"models\":[{\"name\":\""
         + EngineServer.MODEL
@@ -55,31 +51,27 @@
     StoreStandIn store = new StoreStandIn("127.60.0.1");
     store.put("op/config", configuration());
     Map<String, Long> newest = new ConcurrentHashMap<>();
-    List<EngineServer> engines = new ArrayList<>();
-    for (int index = 0; index < 2; index++) {
-      engines.add(
-          new EngineServer(
-              "127.60.1." + (index + 1),
-              "i-" + index,
-              "report-llm",
-              ZONES[index],
-              PLACES,
-              EVENT_MILLIS,
-              newest,
-              store,
-              record));
-    }
+    EngineServer engine =
+        new EngineServer(
+            "127.60.1.1", "i-0", "report-llm", "sofia-b", PLACES, EVENT_MILLIS, newest, store,
+            record);
     EntryHost.Ports ports = EntryHost.Ports.free("127.60.2.1");
-    List<String> ips = List.of("127.60.2.1", "127.60.2.2", "127.60.2.3");
+    List<String> ips = new ArrayList<>();
+    for (int index = 0; index < ZONES.length; index++) {
+      ips.add("127.60.2." + (index + 1));
+    }
+    List<String> seeds = ips.subList(0, SEEDS);
     List<EntryHost> hosts = new ArrayList<>();
     for (int index = 0; index < ips.size(); index++) {
-      hosts.add(new EntryHost(ips.get(index), ZONES[index], ports, ips, store, folder, record));
+      hosts.add(new EntryHost(ips.get(index), ZONES[index], ports, seeds, store, folder, record));
     }
+    EntryHost added = new EntryHost("127.60.2.9", "sofia-b", ports, seeds, store, folder, record);
     int code = 2;
     try {
-      code = new Play(trouble, store, newest, engines, hosts, record).run();
+      code = new Play(trouble, engine, hosts, added, record).run();
     } finally {
       hosts.forEach(EntryHost::end);
+      added.end();
     }
     System.exit(code);
   }
@@ -88,28 +80,22 @@
   private static final class Play {
 
     private final boolean trouble;
-    private final StoreStandIn store;
-    private final Map<String, Long> newest;
-    private final List<EngineServer> engines;
+    private final EngineServer engine;
     private final List<EntryHost> hosts;
+    private final EntryHost added;
     private final Record record;
-    private final AtomicInteger served = new AtomicInteger();
     private final AtomicInteger numbers = new AtomicInteger();
-    private volatile boolean ended;
-    private volatile String longResult = "under way";
 
     Play(
         boolean trouble,
-        StoreStandIn store,
-        Map<String, Long> newest,
-        List<EngineServer> engines,
+        EngineServer engine,
         List<EntryHost> hosts,
+        EntryHost added,
         Record record) {
       this.trouble = trouble;
-      this.store = store;
-      this.newest = newest;
-      this.engines = engines;
+      this.engine = engine;
       this.hosts = hosts;
+      this.added = added;
       this.record = record;
     }
 
@@ -123,125 +109,98 @@
           return 2;
         }
       }
-      Random random = new Random(7);
-      ListeningStandIn.thread(() -> sendShort(random));
-      if (!awaitServed(20, 30_000)) {
-        record.line("the engines were not taken over in time");
+      EntryHost other = hosts.get(SEEDS + 1);
+      if (!awaitServed(other, 25_000)) {
+        record.line("the engine was not taken over in time");
         return 2;
       }
-      String longId = "long-" + numbers.incrementAndGet();
-      ListeningStandIn.thread(() -> longResult = send(longId, "/report/1", LONG_ADAPTER, true));
-      if (!awaitRun(longId, 10_000)) {
-        record.line("the long report did not begin");
-        return 2;
+      if (trouble) {
+        for (EntryHost seed : hosts.subList(0, SEEDS)) {
+          seed.signal("KILL");
+        }
       }
       Thread.sleep(1_000);
-      if (trouble) {
-        newest.put(LONG_ADAPTER, 2L);
-        store.put(
-            "op/version/" + EngineServer.MODEL + "." + LONG_ADAPTER,
-            "{\"model\":\""
-                + EngineServer.MODEL
-                + "\",\"adapter\":\""
-                + LONG_ADAPTER
-                + "\",\"version\":2}");
-        record.line("acknowledged: version 2 of " + LONG_ADAPTER);
+      added.start();
+      if (!added.awaitReady(10_000)) {
+        record.line("the added host is not ready");
+        return 2;
       }
-      Thread.sleep(500);
-      String next = "next-" + numbers.incrementAndGet();
-      ListeningStandIn.thread(() -> send(next, "/summary/1", LONG_ADAPTER, false));
-      long endNanos = System.nanoTime() + (TIMEOUT_MILLIS + 3_000) * 1_000_000;
-      while (System.nanoTime() < endNanos && crashed().isEmpty()) {
-        Thread.sleep(100);
+      Thread.sleep(SEED_LAG_MILLIS);
+      added.setSeeds(hosts.subList(SEEDS, 2 * SEEDS).stream().map(host -> host.ip).toList());
+      added.render();
+      record.line("the settings of the added host name live seeds from now on, without a signal");
+      Thread.sleep(JOINING_MILLIS - SEED_LAG_MILLIS);
+      for (int round = 0; round < ROUNDS && findBreak().isEmpty(); round++) {
+        String adapter = "b" + round;
+        ListeningStandIn.thread(() -> send(added, adapter));
+        Thread.sleep(60);
+        ListeningStandIn.thread(() -> send(other, adapter));
+        Thread.sleep(ROUND_MILLIS);
       }
-      Thread.sleep(1_000);
-      ended = true;
-      Thread.sleep(500);
-      record.line("short reports served " + served.get() + ", the long one: " + longResult);
-      crashed().ifPresent(engine -> record.line("BROKEN: LIMIT at " + engine.id + ": "
-          + engine.crashCause()));
-      return crashed().isPresent() ? 1 : 0;
+      Optional<String> found = findBreak();
+      record.line(found.map(text -> "BROKEN: ONE: " + text).orElse("held"));
+      return found.isPresent() ? 1 : 0;
     }
 
-    private Optional<EngineServer> crashed() {
-      return engines.stream().filter(EngineServer::isCrashed).findFirst();
-    }
-
-    private boolean awaitServed(int count, long millis) throws InterruptedException {
-      long endNanos = System.nanoTime() + millis * 1_000_000;
-      while (System.nanoTime() < endNanos) {
-        if (served.get() >= count) {
-          return true;
+    /** Judges the orders that the server has obeyed, whatever name their holders bear. */
+    private Optional<String> findBreak() {
+      EngineServer.Order former = null;
+      for (EngineServer.Order order : engine.obeyedOrders()) {
+        if (former != null && !former.holder().equals(order.holder())) {
+          String pair =
+              String.format(
+                  java.util.Locale.ROOT,
+                  "%s with %d at %.3f, then %s with %d at %.3f",
+                  former.holder(),
+                  former.fence(),
+                  former.second(),
+                  order.holder(),
+                  order.fence(),
+                  order.second());
+          if ((order.second() - former.second()) * 1_000 < LEASE_MILLIS) {
+            return Optional.of("turns within the lease: " + pair);
+          }
+          if (order.fence() <= former.fence()) {
+            return Optional.of("a number that is not higher: " + pair);
+          }
         }
-        Thread.sleep(100);
+        former = order;
       }
-      return false;
+      return Optional.empty();
     }
 
-    private boolean awaitRun(String id, long millis) throws InterruptedException {
+    private boolean awaitServed(EntryHost host, long millis) throws InterruptedException {
       long endNanos = System.nanoTime() + millis * 1_000_000;
       while (System.nanoTime() < endNanos) {
-        if (engines.stream().anyMatch(engine -> engine.runs(id) > 0)) {
+        if (send(host, "a1").equals("200")) {
           return true;
         }
-        Thread.sleep(50);
+        Thread.sleep(500);
       }
       return false;
     }
 
-    private void sendShort(Random random) {
-      try {
-        while (!ended) {
-          String adapter = "a" + (2 + random.nextInt(ADAPTERS - 1));
-          String id = "short-" + numbers.incrementAndGet();
-          ListeningStandIn.thread(() -> send(id, "/summary/1", adapter, false));
-          Thread.sleep(SHORT_INTERVAL_MILLIS);
-        }
-      } catch (InterruptedException exception) {
-        Thread.currentThread().interrupt();
-      }
-    }
-
-    /** Sends a request on a new channel, once more after a refusal. */
-    private String send(String id, String path, String adapter, boolean isLong) {
-      String result = "";
-      for (int attempt = 0; attempt < (isLong ? 20 : 2); attempt++) {
-        EntryHost host = hosts.get((id.hashCode() + attempt & 0xff) % hosts.size());
-        String attemptId = isLong ? id : id + "-" + attempt;
-        try (Caller caller = new Caller(host.front(), (int) TIMEOUT_MILLIS, record)) {
-          Optional<Http.Message> answer =
-              caller.call(
-                  "POST",
-                  HOST,
-                  path,
-                  attemptId,
-                  isLong ? TIMEOUT_MILLIS : 5_000,
-                  "prompt".getBytes(StandardCharsets.UTF_8),
-                  List.of(
-                      new String[] {"Lentilhinge-Model", EngineServer.MODEL + "/" + adapter},
-                      new String[] {
-                        "Lentilhinge-Token-Counts", "300," + (isLong ? LONG_TOKENS : SHORT_TOKENS)
-                      },
-                      new String[] {
-                        "Lentilhinge-Prompt-Prefix", "5c1e07a2:100," + attemptId.hashCode() + ":200"
-                      }));
-          result = answer.map(message -> String.valueOf(message.status())).orElse("closed");
-          if (result.equals("200")) {
-            served.incrementAndGet();
-            return result;
-          }
-          Thread.sleep(
-              answer
-                  .flatMap(message -> message.header("Retry-After"))
-                  .map(seconds -> Math.min(2_000, (long) (Double.parseDouble(seconds) * 1_000)))
-                  .orElse(300L));
-        } catch (IOException exception) {
-          return "no complete answer: " + exception.getMessage();
-        } catch (InterruptedException exception) {
-          Thread.currentThread().interrupt();
-        }
+    private String send(EntryHost host, String adapter) {
+      String id = "r-" + numbers.incrementAndGet() + "-" + adapter + "-" + host.ip;
+      try (Caller caller = new Caller(host.front(), 6_000, record)) {
+        Optional<Http.Message> answer =
+            caller.call(
+                "POST",
+                HOST,
+                "/summary/1",
+                id,
+                5_000,
+                "prompt".getBytes(StandardCharsets.UTF_8),
+                List.of(
+                    new String[] {"Lentilhinge-Model", EngineServer.MODEL + "/" + adapter},
+                    new String[] {"Lentilhinge-Token-Counts", "300,24"},
+                    new String[] {
+                      "Lentilhinge-Prompt-Prefix", "5c1e07a2:100," + numbers.get() + "ab:200"
+                    }));
+        return answer.map(message -> String.valueOf(message.status())).orElse("closed");
+      } catch (IOException exception) {
+        return "no answer";
       }
-      return result;
     }
   }
 }
