Keep the slot of an order until a report shows how it ended

Cause: an order that was not complete after 10 s counted as failed, and the slot of any failed load was freed. The replacement of an adapter waits for its runs, here for 12 s, and the engine holds the former version meanwhile. The same timer freed the slot of a load that a slow store delays and took back unloads that wait for runs. The reverse: a load that the next owner found in its first report stayed "loading" for good, as no order ended it.

A slot is freed if the engine neither holds nor loads the adapter. A refused replacement leaves the former version. Loads ordered under another ownership end by reports. Requests that a waiting replacement would delay beyond their target are refused at once, so that another engine is tried.

--- a/core/src/main/java/org/lentilhinge/permit/AdapterSlots.java
+++ b/core/src/main/java/org/lentilhinge/permit/AdapterSlots.java
@@ -40,10 +40,6 @@
     slots.remove(adapter);
   }
 
-  void clear() {
-    slots.clear();
-  }
-
   Collection<AdapterSlot> all() {
     return slots.values();
   }
@@ -53,15 +49,45 @@
   }
 
   int loading() {
-    return count(AdapterSlot.State.LOADING);
+    return (int) slots.values().stream().filter(AdapterSlot::isLoading).count();
   }
 
   int unloading() {
-    return count(AdapterSlot.State.UNLOADING);
+    return (int)
+        slots.values().stream().filter(slot -> slot.state == AdapterSlot.State.UNLOADING).count();
   }
 
-  private int count(AdapterSlot.State state) {
-    return (int) slots.values().stream().filter(slot -> slot.state == state).count();
+  /** Returns whether an adapter is loading that was ordered under another ownership. */
+  boolean hasLoadOrderedElsewhere() {
+    return slots.values().stream().anyMatch(slot -> slot.orderedElsewhere);
+  }
+
+  /** Replaces all slots by those that a report shows. */
+  void replaceAll(Map<String, Long> resident, Map<String, Long> loading, long nowMillis) {
+    slots.clear();
+    resident.forEach((name, version) -> put(name, version, AdapterSlot.State.RESIDENT, nowMillis));
+    loading.forEach(
+        (name, version) ->
+            put(name, version, AdapterSlot.State.LOADING, nowMillis).orderedElsewhere = true);
+  }
+
+  /** Updates the loads that were ordered under another ownership, which only reports end. */
+  void updateLoadsOrderedElsewhere(
+      Map<String, Long> resident,
+      Map<String, Long> loading,
+      long requestedAtMillis,
+      long nowMillis) {
+    for (AdapterSlot slot : List.copyOf(slots.values())) {
+      if (!slot.orderedElsewhere || loading.containsKey(slot.adapter)) {
+        continue;
+      }
+      if (resident.containsKey(slot.adapter)) {
+        slot.setResident(resident.get(slot.adapter), nowMillis);
+      } else if (requestedAtMillis - slot.changedAtMillis
+          > EngineOwnership.MAXIMUM_REPORT_AGE_MILLIS) {
+        remove(slot.adapter);
+      }
+    }
   }
 
   /** Returns the number of slots that are free or hold an adapter without running requests. */
--- a/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
+++ b/core/src/main/java/org/lentilhinge/permit/EngineScheduler.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
-import org.lentilhinge.demand.DemandMeter;
 import org.lentilhinge.limit.RequestRate;
 
 /**
@@ -28,10 +28,9 @@
   private static final long MAXIMUM_RATE_WAIT_MILLIS = 100;
 
   private final SchedulerSettings settings;
-  private final String model;
+  private final BaseModel model;
   private final AdapterSlots slots;
-  private final AdapterDemand demand = new AdapterDemand();
-  private final DemandMeter meter = new DemandMeter();
+  private final RequestDemand demand = new RequestDemand();
   private final PromptBacklog backlog;
   private final RequestQueue queue = new RequestQueue();
   private final QueueAdmission admission;
@@ -40,8 +39,6 @@
   private final RequestRate rate;
   private long unreachableUntilMillis;
   private boolean awaitingReport;
-  private boolean modelPresent;
-  private boolean modelOrdered;
   private boolean canOrder;
 
   /** Whether a request waits for capacity in the current decision. */
@@ -66,12 +63,11 @@
       RequestRate rate) {
     this.rate = rate;
     this.settings = settings;
-    this.model = model;
-    this.modelPresent = modelPresent;
+    this.model = new BaseModel(model, modelPresent);
     this.slots = new AdapterSlots(settings.adapterSlots());
-    this.turnover = new SlotTurnover(settings, model, slots, demand);
+    this.turnover = new SlotTurnover(settings, model, slots, demand.weights());
     this.backlog = new PromptBacklog(tokensPerMillisecond);
-    this.admission = new QueueAdmission(settings, slots, backlog, queue);
+    this.admission = new QueueAdmission(settings, slots, backlog, queue, running);
   }
 
   /**
@@ -80,7 +76,7 @@
    * @return the model's name
    */
   public String model() {
-    return model;
+    return model.name();
   }
 
   /** Queues all permit requests until the engine's first report, which lists loaded adapters. */
@@ -99,17 +95,39 @@
   public void updateFromReport(
       boolean modelLoaded, Map<String, Long> adapters, Map<String, Long> loading, long nowMillis) {
     awaitingReport = false;
-    modelPresent = modelLoaded;
-    slots.clear();
-    adapters.forEach(
-        (name, version) -> slots.put(name, version, AdapterSlot.State.RESIDENT, nowMillis));
-    loading.forEach(
-        (name, version) -> slots.put(name, version, AdapterSlot.State.LOADING, nowMillis));
+    model.setPresent(modelLoaded);
+    slots.replaceAll(adapters, loading, nowMillis);
     for (RunningRequests.Running run : running.all()) {
       slots.find(run.request().adapter()).ifPresent(slot -> slot.runningRequests++);
     }
   }
 
+  /**
+   * Returns whether an adapter is loading that no order of the current ownership loads, so that
+   * only further reports show the end of the load.
+   *
+   * @return whether reports are needed
+   */
+  public boolean needsReport() {
+    return slots.hasLoadOrderedElsewhere();
+  }
+
+  /**
+   * Records what a further report shows of the loads that were ordered under another ownership.
+   *
+   * @param adapters the versions of the resident adapters, by name
+   * @param loading the versions of the adapters that are loading, by name
+   * @param requestedAtMillis the time at which the report was requested, in milliseconds
+   * @param nowMillis the current time, in milliseconds
+   */
+  public void recordReport(
+      Map<String, Long> adapters,
+      Map<String, Long> loading,
+      long requestedAtMillis,
+      long nowMillis) {
+    slots.updateLoadsOrderedElsewhere(adapters, loading, requestedAtMillis, nowMillis);
+  }
+
   /**
    * Sets whether this host may send orders to the engine; if not, only loaded adapters are served.
    *
@@ -179,7 +197,7 @@
     if (admission.isTooLarge(request)) {
       return List.of(admission.refuseTooLarge(host, request, nowMillis));
     }
-    recordDemand(request, nowMillis);
+    demand.record(request, backlog.tokensPerMillisecond(), nowMillis);
     if (isUnreachable(nowMillis)) {
       return List.of(
           EngineCommand.Answer.refusal(host, request, UNREACHABLE_BACKOFF_MILLIS, UNREACHABLE, 0));
@@ -199,19 +217,10 @@
     return commands;
   }
 
-  private void recordDemand(PermitRequest request, long nowMillis) {
-    demand.recordRequest(request.adapter(), nowMillis);
-    boolean repeated = request.terms().filter(PermitTerms::repeated).isPresent();
-    if (!repeated && !request.adapter().isEmpty()) {
-      double prefillMillis = request.promptTokens() / backlog.tokensPerMillisecond();
-      meter.recordRequest(request.adapter(), prefillMillis, nowMillis);
-    }
-  }
-
   private boolean needsUnavailableOrder(PermitRequest request) {
     boolean loaded =
         request.adapter().isEmpty() || slots.isResident(request.adapter(), request.version());
-    return !canOrder && !(loaded && modelPresent);
+    return !canOrder && !(loaded && model.isPresent());
   }
 
   /**
@@ -244,7 +253,7 @@
       commands.add(new EngineCommand.CheckReachable());
     }
     if (returned.outcome() == PermitReturn.Outcome.ABSENT && run.request().adapter().isEmpty()) {
-      modelPresent = false;
+      model.setPresent(false);
     } else if (returned.outcome() == PermitReturn.Outcome.ABSENT) {
       return reload(run.request(), slot, nowMillis);
     }
@@ -283,23 +292,49 @@
   }
 
   /**
-   * Records that an order was carried out or has failed.
+   * Records that an order was carried out, or that the engine refused it.
    *
    * @param order the order
-   * @param done whether it was carried out
+   * @param done whether it was carried out; if not, the former state holds
    * @param nowMillis the current time, in milliseconds
    * @return the commands to carry out
    */
   public List<EngineCommand> recordOrder(AdapterOrder order, boolean done, long nowMillis) {
     if (order.adapter().isEmpty()) {
-      modelOrdered = false;
-      modelPresent |= done;
+      model.recordOrder(done);
       return decide(nowMillis);
     }
     turnover.recordOrder(order, done, nowMillis);
     return decide(nowMillis);
   }
 
+  /**
+   * Records that a report shows that an order was not carried out and is not under way any more.
+   *
+   * @param order the order
+   * @param residentVersion the version of the adapter that the engine holds; empty if it holds none
+   * @param nowMillis the current time, in milliseconds
+   * @return the commands to carry out
+   */
+  public List<EngineCommand> recordAbandonedOrder(
+      AdapterOrder order, OptionalLong residentVersion, long nowMillis) {
+    if (order.adapter().isEmpty()) {
+      return recordOrder(order, false, nowMillis);
+    }
+    turnover.recordAbandonedOrder(order, residentVersion, nowMillis);
+    return decide(nowMillis);
+  }
+
+  /**
+   * Returns whether no permit for an adapter is in use.
+   *
+   * @param adapter the adapter's name
+   * @return whether no request runs on it as far as this scheduler knows
+   */
+  public boolean isIdle(String adapter) {
+    return slots.find(adapter).filter(slot -> slot.runningRequests > 0).isEmpty();
+  }
+
   /**
    * Loads an adapter ahead of its requests, if the engine has no other order to carry out and a
    * slot is free or holds an idle adapter with less demand.
@@ -313,7 +348,7 @@
   public List<EngineCommand> loadAhead(
       String adapter, long version, double requestsPerSecond, long nowMillis) {
     List<EngineCommand> commands = new ArrayList<>();
-    if (canOrder && modelPresent && !awaitingReport && !isUnreachable(nowMillis)) {
+    if (canOrder && model.isPresent() && !awaitingReport && !isUnreachable(nowMillis)) {
       double weight = AdapterDemand.expectedWeight(requestsPerSecond);
       turnover.loadAhead(adapter, version, weight, queue.adapters(), nowMillis, commands);
     }
@@ -332,8 +367,10 @@
     if (awaitingReport) {
       return commands;
     }
-    if (!modelPresent) {
-      orderModel(commands);
+    if (!model.isPresent()) {
+      if (canOrder && !queue.isEmpty()) {
+        model.order().ifPresent(commands::add);
+      }
       return commands;
     }
     Set<String> requested = queue.adapters();
@@ -347,13 +384,6 @@
     return commands;
   }
 
-  private void orderModel(List<EngineCommand> commands) {
-    if (canOrder && !modelOrdered && !queue.isEmpty()) {
-      modelOrdered = true;
-      commands.add(new EngineCommand.Order(new AdapterOrder(true, model, "", 0), "model-absent"));
-    }
-  }
-
   private void decide(
       QueueEntry entry, Set<String> requested, long nowMillis, List<EngineCommand> commands) {
     PermitRequest request = entry.request();
@@ -366,8 +396,7 @@
       }
     } else if (slot.get().state == AdapterSlot.State.RESIDENT) {
       if (canOrder && slot.get().version < request.version()) {
-        turnover.load(
-            request.adapter(), request.version(), "version-announced", nowMillis, commands);
+        turnover.replace(slot.get(), request.version(), nowMillis, commands);
       } else if (slot.get().version >= request.version()
           && !turnover.isDraining(request.adapter())) {
         grant(entry, slot, nowMillis, commands);
@@ -429,7 +458,7 @@
   public EngineStatus status(String incarnation, boolean owned, long nowMillis) {
     if (isUnreachable(nowMillis)) {
       return new EngineStatus(incarnation, owned, List.of(), UNREACHABLE_BACKOFF_MILLIS, 0, 0)
-          .withLoads(meter.loads(nowMillis));
+          .withLoads(demand.loads(nowMillis));
     }
     return new EngineStatus(
             incarnation,
@@ -438,7 +467,7 @@
             Math.max(admission.prefillMillis(nowMillis), rate.waitMillis(queue.size(), nowMillis)),
             slots.available(),
             queue.adaptersWithoutSlot(slots))
-        .withLoads(meter.loads(nowMillis));
+        .withLoads(demand.loads(nowMillis));
   }
 
   /**
--- a/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
+++ b/core/src/main/java/org/lentilhinge/permit/QueueAdmission.java
@@ -24,22 +24,29 @@
 
   private static final String NO_ROOM = "no-room";
   private static final String TOO_LARGE = "too-large";
+  private static final String REPLACEMENT = "replacement-waits";
 
   private final SchedulerSettings settings;
   private final AdapterSlots slots;
   private final PromptBacklog backlog;
   private final RequestQueue queue;
+  private final RunningRequests running;
   private final SlotWaitEstimator slotWaits = new SlotWaitEstimator();
   private final ServiceRate serviceRate = new ServiceRate();
   private final ReturnTimes returnTimes = new ReturnTimes();
   private final MemoryReservation reservation;
 
   QueueAdmission(
-      SchedulerSettings settings, AdapterSlots slots, PromptBacklog backlog, RequestQueue queue) {
+      SchedulerSettings settings,
+      AdapterSlots slots,
+      PromptBacklog backlog,
+      RequestQueue queue,
+      RunningRequests running) {
     this.settings = settings;
     this.slots = slots;
     this.backlog = backlog;
     this.queue = queue;
+    this.running = running;
     this.reservation = new MemoryReservation(settings.memoryTokens());
   }
 
@@ -62,6 +69,10 @@
   List<EngineCommand> admit(String host, PermitRequest request, long nowMillis) {
     int slotsAhead = needsSlot(request) ? queue.adaptersWithoutSlot(slots) : QueueEntry.NO_SLOT;
     QueueEntry added = new QueueEntry(host, request, nowMillis, slotsAhead);
+    long replacementMillis = replacementMillis(request, nowMillis);
+    if (replacementMillis > 0 && isLate(added, replacementMillis, nowMillis)) {
+      return List.of(added.refusal(replacementMillis, REPLACEMENT, nowMillis));
+    }
     if (queue.hasStanding() || added.standing().isPresent()) {
       return admitByStanding(added, nowMillis);
     }
@@ -75,6 +86,19 @@
     return List.of();
   }
 
+  /**
+   * Returns the predicted time until the runs end for which the replacement of an adapter waits;
+   * meanwhile the engine runs no other request on it. Another engine may load the new version.
+   */
+  private long replacementMillis(PermitRequest request, long nowMillis) {
+    return slots
+        .find(request.adapter())
+        .filter(slot -> slot.state == AdapterSlot.State.REPLACING)
+        .map(slot -> running.predictedEndAtMillis(slot.adapter) - nowMillis)
+        .filter(millis -> millis > 0)
+        .orElse(0L);
+  }
+
   /**
    * Returns whether a request that states its longest wait is for the only adapter without a slot.
    * Its slot wait does not count: the estimate is corrected only by requests that wait, and slots
--- a/core/src/main/java/org/lentilhinge/permit/SlotTurnover.java
+++ b/core/src/main/java/org/lentilhinge/permit/SlotTurnover.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** Decides which adapters an engine loads, and which ones it unloads to make room for them. */
@@ -93,34 +94,56 @@
     commands.add(new EngineCommand.Order(order, reason));
   }
 
-  /** Loads an adapter, or the announced version of one that is loaded. */
+  /** Loads an adapter that is absent. */
   void load(
       String adapter, long version, String reason, long nowMillis, List<EngineCommand> commands) {
     AdapterSlot slot =
         slots
             .find(adapter)
             .orElseGet(() -> slots.put(adapter, version, AdapterSlot.State.LOADING, nowMillis));
-    slot.state = AdapterSlot.State.LOADING;
+    order(slot, AdapterSlot.State.LOADING, version, reason, nowMillis, commands);
+  }
+
+  /** Loads the announced version of an adapter that is resident in a former one. */
+  void replace(AdapterSlot slot, long version, long nowMillis, List<EngineCommand> commands) {
+    AdapterSlot.State state = AdapterSlot.State.REPLACING;
+    order(slot, state, version, "version-announced", nowMillis, commands);
+  }
+
+  private void order(
+      AdapterSlot slot,
+      AdapterSlot.State state,
+      long version,
+      String reason,
+      long nowMillis,
+      List<EngineCommand> commands) {
+    slot.state = state;
     slot.changedAtMillis = nowMillis;
-    AdapterOrder order = new AdapterOrder(true, model, adapter, version);
+    AdapterOrder order = new AdapterOrder(true, model, slot.adapter, version);
     commands.add(new EngineCommand.Order(order, reason));
   }
 
-  /** Records that an order for an adapter was carried out or has failed. */
+  /** Records that an order for an adapter was carried out, or that the engine refused it. */
   void recordOrder(AdapterOrder order, boolean done, long nowMillis) {
     Optional<AdapterSlot> slot = slots.find(order.adapter());
     if (order.load() && done) {
       slot.ifPresent(
-          found -> {
-            found.state = AdapterSlot.State.RESIDENT;
-            found.version = Math.max(found.version, order.version());
-            found.changedAtMillis = nowMillis;
-            found.lastUsedAtMillis = nowMillis;
-          });
-    } else if (order.load() || done) {
+          found -> found.setResident(Math.max(found.version, order.version()), nowMillis));
+    } else if (done || slot.filter(found -> found.state == AdapterSlot.State.LOADING).isPresent()) {
       slots.remove(order.adapter());
     } else {
       slot.ifPresent(found -> found.state = AdapterSlot.State.RESIDENT);
     }
   }
+
+  /** Records what a report shows of an adapter whose order was not carried out. */
+  void recordAbandonedOrder(AdapterOrder order, OptionalLong residentVersion, long nowMillis) {
+    if (residentVersion.isEmpty()) {
+      slots.remove(order.adapter());
+    } else {
+      slots
+          .find(order.adapter())
+          .ifPresent(slot -> slot.setResident(residentVersion.getAsLong(), nowMillis));
+    }
+  }
 }
--- a/core/src/test/java/org/lentilhinge/permit/MemoryReservationTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/MemoryReservationTest.java
@@ -71,7 +71,8 @@
             new SchedulerSettings(64, MEMORY_TOKENS, 1, 1, 120),
             slots,
             new PromptBacklog(20),
-            new RequestQueue());
+            new RequestQueue(),
+            new RunningRequests());
     for (int count = 0; count < RUN; count++) {
       QueueEntry entry = new QueueEntry("h", request("a", 80_000), 0, QueueEntry.NO_SLOT);
       admission.refuse(entry, "no-room", 0);
--- a/core/src/test/java/org/lentilhinge/permit/SlotWaitTest.java
+++ b/core/src/test/java/org/lentilhinge/permit/SlotWaitTest.java
@@ -17,7 +17,12 @@
   private final RequestQueue queue = new RequestQueue();
   private final PromptBacklog backlog = new PromptBacklog(20);
   private final QueueAdmission admission =
-      new QueueAdmission(new SchedulerSettings(64, 100_000, 1, 1, 120), slots, backlog, queue);
+      new QueueAdmission(
+          new SchedulerSettings(64, 100_000, 1, 1, 120),
+          slots,
+          backlog,
+          queue,
+          new RunningRequests());
   private long lastPermitId;
 
   /** Creates an engine whose only slot is in use, and whose slots took a second to be freed. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
@@ -1,5 +1,6 @@
 package org.lentilhinge.runtime.forward;
 
+import java.util.OptionalLong;
 import org.lentilhinge.fleet.FleetEndpoint;
 import org.lentilhinge.permit.AdapterOrder;
 import org.lentilhinge.permit.EngineOwnership;
@@ -26,9 +27,16 @@
    */
   private static final long REPEAT_WINDOW_MILLIS = 330;
 
-  /** The time after which an order that is not complete counts as failed, in milliseconds. */
+  /**
+   * The time after which an order that is not complete is no longer sent, in milliseconds. From
+   * then on only reports decide about it: a load takes long while the store is slow, and the
+   * replacement of an adapter waits for its runs.
+   */
   private static final long ORDER_TIMEOUT_MILLIS = 10_000;
 
+  /** The interval between two reports about an order that takes long, in milliseconds. */
+  private static final long OVERDUE_CHECK_INTERVAL_MILLIS = 1_000;
+
   private final HostContext context;
   private final EngineControl control;
   private final FleetEndpoint engine;
@@ -50,9 +58,20 @@
     /** Indicates whether the engine is in the backoff after it did not respond. */
     boolean isUnreachable();
 
-    /** Handles the end of an order. */
+    /** Handles an order that was carried out or that the engine refused. */
     void onOrderEnd(AdapterOrder order, boolean done);
 
+    /**
+     * Handles an order that was not carried out, as a report shows.
+     *
+     * @param order the order
+     * @param residentVersion the version of the adapter that the engine holds; empty if none
+     */
+    void onOrderAbandoned(AdapterOrder order, OptionalLong residentVersion);
+
+    /** Indicates whether no request of which this host knows runs on an adapter. */
+    boolean isIdle(String adapter);
+
     /** Handles an order that the engine did not answer. */
     void onOrderUnanswered();
 
@@ -172,6 +191,7 @@
   private void processValidResult(
       OwnedOrder order, OrderResult result, OwnershipEvidence evidence) {
     long now = context.now();
+    orders.recordAnswer(order, now);
     // The engine answers a repeated load in the same way as the first one but counts it only once.
     boolean first = orders.recordCounted(order);
     if (first || result != OrderResult.ACCEPTED) {
@@ -179,7 +199,9 @@
     }
     switch (result) {
       case ACCEPTED -> {
-        if (first) {
+        if (first && orders.wasAbandoned(order)) {
+          ownership.recordPossiblyAcceptedOrder(now);
+        } else if (first) {
           ownership.recordAcceptedOrder(now);
         }
         scheduleCheck(order, first ? FIRST_CHECK_DELAY_MILLIS : CHECK_INTERVAL_MILLIS);
@@ -224,13 +246,16 @@
   }
 
   private void scheduleCheck(OwnedOrder order, long millis) {
-    if (orders.ageMillis(order, context.now()) > ORDER_TIMEOUT_MILLIS) {
-      finish(order, false);
-      return;
+    if (isOverdue(order) && orders.recordOverdue(order)) {
+      log.writeOrder("order-overdue", order.order(), orders.ageMillis(order, context.now()));
     }
     context.vertx().setTimer(millis, id -> check(order));
   }
 
+  private boolean isOverdue(OwnedOrder order) {
+    return orders.ageMillis(order, context.now()) > ORDER_TIMEOUT_MILLIS;
+  }
+
   /**
    * Checks whether an order is complete by repeating the order, which is cheap, or by reading a
    * report. A repetition does not increase the engine's order count, but a host that sees an
@@ -243,8 +268,9 @@
       return;
     }
     boolean repeatable =
-        !orders.isCounted(order)
-            || context.now() - ownership.unchangedSinceMillis() <= REPEAT_WINDOW_MILLIS;
+        !isOverdue(order)
+            && (!orders.isCounted(order)
+                || context.now() - ownership.unchangedSinceMillis() <= REPEAT_WINDOW_MILLIS);
     if (repeatable) {
       orders.add(order);
       sendNext();
@@ -255,22 +281,53 @@
   }
 
   /** Decides about the orders that wait for a report, and sends the next one. */
-  void processReport(EngineReport report) {
+  void processReport(EngineReport report, long requestedAtMillis) {
     for (OwnedOrder order : orders.takeAwaiting()) {
-      if (report.isDone(order.order())) {
+      boolean shown = orders.isShown(order, requestedAtMillis);
+      if (report.isDone(order.order()) && (shown || order.order().load())) {
         finish(order, true);
+      } else if (shown && isOverdue(order) && !mayBeCarriedOut(order, report)) {
+        abandon(order, report);
       } else {
-        scheduleCheck(order, EngineReportReader.READ_INTERVAL_MILLIS);
+        scheduleCheck(order, checkIntervalMillis(order));
       }
     }
     sendNext();
   }
 
+  private long checkIntervalMillis(OwnedOrder order) {
+    return isOverdue(order)
+        ? OVERDUE_CHECK_INTERVAL_MILLIS
+        : EngineReportReader.READ_INTERVAL_MILLIS;
+  }
+
+  /**
+   * Indicates whether the engine may still carry out an order that is not complete. An accepted
+   * unload or replacement waits for the runs on the adapter, which the report lists meanwhile.
+   */
+  private boolean mayBeCarriedOut(OwnedOrder order, EngineReport report) {
+    String adapter = order.order().adapter();
+    boolean waitsForRuns =
+        orders.isCounted(order)
+            && report.adapters().containsKey(adapter)
+            && (!order.order().load() || !listener.isIdle(adapter));
+    return report.loading().containsKey(adapter) || waitsForRuns;
+  }
+
+  private void abandon(OwnedOrder order, EngineReport report) {
+    String adapter = order.order().adapter();
+    Long version = report.adapters().get(adapter);
+    long ageMillis = orders.ageMillis(order, context.now());
+    log.writeOrder("order-abandoned", order.order(), ageMillis);
+    orders.discard(order);
+    orders.recordAbandoned(order);
+    listener.onOrderAbandoned(
+        order.order(), version == null ? OptionalLong.empty() : OptionalLong.of(version));
+  }
+
   /** Has the orders that wait for a report checked later, as none was received. */
   void processNoReport() {
-    orders
-        .takeAwaiting()
-        .forEach(order -> scheduleCheck(order, EngineReportReader.READ_INTERVAL_MILLIS));
+    orders.takeAwaiting().forEach(order -> scheduleCheck(order, checkIntervalMillis(order)));
   }
 
   private void finish(OwnedOrder order, boolean done) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -204,6 +204,9 @@
     if (scheduler.isUnreachable(context.now()) && reports.isDue()) {
       reports.read("unreachable");
     }
+    if (ownership.isOwner() && scheduler.needsReport() && reports.isDue()) {
+      reports.read("loading");
+    }
     if (!ownership.isOwner()
         && !secondReadStarted
         && context.now() - createdAtMillis >= SECOND_READ_DELAY_MILLIS) {
@@ -294,6 +297,8 @@
       schedulerOutdated = false;
       scheduler.updateFromReport(
           !report.models().isEmpty(), report.adapters(), report.loading(), now);
+    } else {
+      scheduler.recordReport(report.adapters(), report.loading(), requestedAtMillis, now);
     }
     log.writeReport(report, reason, scheduler.promptTokensPerMillisecond());
     if (wasOwner && !ownership.isOwner()) {
@@ -307,7 +312,7 @@
       publishStatus();
     }
     execute(scheduler.decide(now));
-    orders.processReport(report);
+    orders.processReport(report, requestedAtMillis);
   }
 
   /** Returns the engine's count of accepted orders and its age, or empty if it is not known. */
@@ -363,6 +368,16 @@
     execute(scheduler.recordOrder(order, done, context.now()));
   }
 
+  @Override
+  public void onOrderAbandoned(AdapterOrder order, OptionalLong residentVersion) {
+    execute(scheduler.recordAbandonedOrder(order, residentVersion, context.now()));
+  }
+
+  @Override
+  public boolean isIdle(String adapter) {
+    return scheduler.isIdle(adapter);
+  }
+
   @Override
   public void onOrderUnanswered() {
     markUnreachable("order-unanswered");
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedOrders.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedOrders.java
@@ -10,12 +10,16 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.lentilhinge.permit.EngineOwnership;
 
 /** The orders to one engine that wait to be sent, or to be complete. */
 final class OwnedOrders {
 
   private final Deque<OwnedOrder> queued = new ArrayDeque<>();
   private final Map<OwnedOrder, Long> startedAtMillis = new HashMap<>();
+  private final Map<OwnedOrder, Long> answeredAtMillis = new HashMap<>();
+  private final Set<OwnedOrder> overdue = new HashSet<>();
+  private final Set<OwnedOrder> abandoned = new HashSet<>();
   private final Set<OwnedOrder> counted = new HashSet<>();
   private final Set<OwnedOrder> awaitingReport = new LinkedHashSet<>();
 
@@ -48,10 +52,40 @@
   /** Forgets an order. */
   void discard(OwnedOrder order) {
     startedAtMillis.remove(order);
+    answeredAtMillis.remove(order);
+    overdue.remove(order);
+    abandoned.remove(order);
     counted.remove(order);
     awaitingReport.remove(order);
   }
 
+  /** Records that the engine answered an order, or that the wait for the answer has ended. */
+  void recordAnswer(OwnedOrder order, long nowMillis) {
+    answeredAtMillis.put(order, nowMillis);
+  }
+
+  /** Returns whether a report that was requested at some time shows the effect of an order. */
+  boolean isShown(OwnedOrder order, long requestedAtMillis) {
+    long answeredAt = answeredAtMillis.getOrDefault(order, Long.MAX_VALUE);
+    return requestedAtMillis - EngineOwnership.MAXIMUM_REPORT_AGE_MILLIS > answeredAt;
+  }
+
+  /** Records that an order takes long; returns whether that was not known yet. */
+  boolean recordOverdue(OwnedOrder order) {
+    return overdue.add(order);
+  }
+
+  /** Records that the engine may still carry out an order that this host no longer follows. */
+  void recordAbandoned(OwnedOrder order) {
+    abandoned.removeIf(former -> former.ownershipNumber() != order.ownershipNumber());
+    abandoned.add(order);
+  }
+
+  /** Returns whether the same order was abandoned before under the same ownership. */
+  boolean wasAbandoned(OwnedOrder order) {
+    return abandoned.contains(order);
+  }
+
   /** Records that the engine has answered an order; returns whether for the first time. */
   boolean recordCounted(OwnedOrder order) {
     return counted.add(order);
@@ -74,6 +108,8 @@
   /** Records the end of an order; returns its age in milliseconds if it was sent. */
   OptionalLong finish(OwnedOrder order, long nowMillis) {
     counted.remove(order);
+    answeredAtMillis.remove(order);
+    overdue.remove(order);
     Long startedAt = startedAtMillis.remove(order);
     return startedAt == null ? OptionalLong.empty() : OptionalLong.of(nowMillis - startedAt);
   }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineFixture.java
@@ -65,7 +65,9 @@
   BooleanSupplier latestMayBeSent = () -> true;
   long lastPermitId;
   long orderCount = 7;
+  long remainingMillis = 5_000;
   final Map<String, Long> adapters = new HashMap<>();
+  final Map<String, Long> loading = new HashMap<>();
   final Map<String, Integer> protocols = new HashMap<>();
 
   final HostContext context;
@@ -201,11 +203,15 @@
   public Future<EngineReport> report(FleetEndpoint engine) {
     return reporting
         ? Future.succeededFuture(
-            new EngineReport(startedAtMillis, orderCount, List.of("m"), adapters, Map.of()))
+            new EngineReport(startedAtMillis, orderCount, List.of("m"), adapters, loading))
         : Future.failedFuture("no report");
   }
 
   void submit(String adapter) {
+    submit(adapter, 0);
+  }
+
+  void submit(String adapter, long version) {
     lastPermitId++;
     runner.submit(
         "h",
@@ -215,12 +221,12 @@
             "e/1",
             "m",
             adapter,
-            0,
+            version,
             500,
             50,
             1,
             1_000,
-            5_000,
+            remainingMillis,
             Optional.empty(),
             Optional.empty()));
   }
