Read the settings file again while a host runs

Cause: the file was read at the start and at SIGHUP only. Further seeds were only ever added, never dropped.

Change: a host reads the file every second, off the event loop. A changed text counts once two successive reads agree, after SIGHUP at once. A text that is absent, half written or wrong changes nothing and is logged once. Seeds replace the former ones; `reload` states which changed settings are in force and which wait for the next start.

--- a/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostOverlay.java
@@ -79,16 +79,17 @@
     this.self = self;
     this.seeds = new LinkedHashSet<>(seeds);
     this.random = random;
-    addSeeds(seeds);
+    this.seeds.remove(self.host());
     majority = new HostMajority(self.host(), this.seeds, view, detector);
   }
 
   /**
-   * Adds seed hosts.
+   * Replaces the seed hosts. Those that are known stay known.
    *
-   * @param names the names of further hosts to contact
+   * @param names the names of the hosts to contact
    */
-  public void addSeeds(Collection<String> names) {
+  public void setSeeds(Collection<String> names) {
+    seeds.clear();
     seeds.addAll(names);
     seeds.remove(self.host());
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -412,11 +412,7 @@
    * @param settings the new settings
    */
   public void reload(ForwardSettings settings) {
-    loop.runOnContext(
-        unused -> {
-          context.log().line("reload", "seeds", String.join(",", settings.seeds()));
-          overlay.addSeeds(settings.seeds().stream().map(HostNames::ofAddress).toList());
-        });
+    loop.runOnContext(unused -> overlay.reload(settings));
   }
 
   /**
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
@@ -21,6 +21,7 @@
   private final Consumer<Collection<PeerAddress>> linkUpdater;
   private final PeerSender sender;
   private final Listener listener;
+  private final SettingsReload settingsReload;
   private Set<String> linkedHosts = Set.of();
   private long linkedGeneration = -1;
 
@@ -54,6 +55,7 @@
     this.linkUpdater = linkUpdater;
     this.sender = sender;
     this.listener = listener;
+    settingsReload = new SettingsReload(context.settings(), context.log(), this::setSeeds);
   }
 
   void receive(String from, PeerMessage message) {
@@ -71,8 +73,12 @@
     execute(overlay.leave());
   }
 
-  void addSeeds(List<String> names) {
-    overlay.addSeeds(names);
+  void reload(ForwardSettings settings) {
+    settingsReload.apply(settings);
+  }
+
+  private void setSeeds(List<String> addresses) {
+    overlay.setSeeds(addresses.stream().map(HostNames::ofAddress).toList());
     updateLinkedHosts();
   }
 
