Count a seed from the time at which the settings name it

What callers could see: a host whose settings name other seeds later than 30 s after its start takes itself for the only one at once, without a first contact to them, and may order adapters beside their owner.

Cause: HostMajority counted unknown seeds as hosts that may run within 30 s of its own start, whenever they were named.

Change: each seed counts for 30 s from the time at which it is first named, and no longer once it is named no more.

--- a/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -31,6 +32,7 @@
   private final List<String> reached = new ArrayList<>();
   private final List<String> silent = new ArrayList<>();
 
+  private final Map<String, Long> seedNamedAtMillis = new HashMap<>();
   private OptionalLong startedAtMillis = OptionalLong.empty();
   private boolean held;
   private boolean heldOnce;
@@ -41,7 +43,7 @@
    * Creates the decision of a host that has just started.
    *
    * @param self the host's name
-   * @param seeds the other hosts that are known at startup; they may be running
+   * @param seeds the other hosts that the settings name, which may change; they may be running
    */
   HostMajority(String self, Set<String> seeds, HostView view, FailureDetector detector) {
     this.self = self;
@@ -59,6 +61,7 @@
       startedAtMillis = OptionalLong.of(nowMillis);
       heldAtMillis = nowMillis;
     }
+    updateSeeds(nowMillis);
     boolean hearsAll = neighbors.size() >= view.live().size();
     held =
         (hearsAll || hearsNeighbors(neighbors, nowMillis))
@@ -69,6 +72,11 @@
     }
   }
 
+  private void updateSeeds(long nowMillis) {
+    seedNamedAtMillis.keySet().retainAll(seeds);
+    seeds.forEach(seed -> seedNamedAtMillis.putIfAbsent(seed, nowMillis));
+  }
+
   /**
    * Indicates whether as many hosts know this host as live as it has neighbors, where the neighbors
    * are only some of the hosts: the loss of the others is known only once it was gossiped. A silent
@@ -91,17 +99,19 @@
         (isReached ? reached : silent).add(host.host());
       }
     }
-    if (nowMillis - startedAtMillis.orElse(nowMillis) < SILENT_HOST_MILLIS) {
-      for (String seed : seeds) {
-        if (view.isUnknown(seed)) {
-          silent.add(seed);
-        }
+    for (String seed : seeds) {
+      if (view.isUnknown(seed) && mayRun(seed, nowMillis)) {
+        silent.add(seed);
       }
     }
     reachesAll = silent.isEmpty();
     return isMajority(reached, silent);
   }
 
+  private boolean mayRun(String seed, long nowMillis) {
+    return nowMillis - seedNamedAtMillis.getOrDefault(seed, nowMillis) < SILENT_HOST_MILLIS;
+  }
+
   /**
    * Decides between two parts. Their names are compared only if the parts are of the same size.
    *
--- a/core/src/test/java/org/lentilhinge/overlay/HostMajorityTest.java
+++ b/core/src/test/java/org/lentilhinge/overlay/HostMajorityTest.java
@@ -160,4 +160,29 @@
           isInMajority(simulation, simulation.names().get(1)), true, "after " + waited + " ms");
     }
   }
+
+  // Guards against a host that keeps to seeds which ended before it started, and ignores new ones.
+  @Test
+  public void seedThatIsNamedLaterCountsAsOneThatMayRun() {
+    OverlaySimulation simulation = newHostWithDeadSeeds();
+    String last = simulation.names().get(3);
+    simulation.run(40_000);
+    assertTrue(isInMajority(simulation, last));
+    simulation.overlay(last).setSeeds(List.of("10.0.9.1", "10.0.9.2"));
+    simulation.run(1_000);
+    assertFalse(isInMajority(simulation, last));
+    simulation.run(40_000);
+    assertTrue(isInMajority(simulation, last));
+  }
+
+  /** Starts the last of four hosts once the others, which are its seeds, have ended. */
+  private static OverlaySimulation newHostWithDeadSeeds() {
+    OverlaySimulation simulation = new OverlaySimulation(8, 4);
+    simulation.run(400);
+    simulation.names().forEach(simulation::kill);
+    simulation.run(500);
+    simulation.start(simulation.names().get(3), 0);
+    simulation.run(100);
+    return simulation;
+  }
 }
