Compare the count before an idle owner's order, and distrust silence

Cause: a host that has heard nothing of others for 30 s took itself for the whole system (HostMajority), had nobody to ask (OwnershipConsent) and took over every engine that was idle for 3.4 s. The owner, which misses nobody, compared no report before its next order.

Change: (1) an owner that was idle for longer than the lease compares the count before its next order, whomever it hears. (2) HostMajority.isCertain tells a majority that holds even if all lost and named hosts run from one that rests on silence alone; in the latter an idle owner holds its order back for 1.2 to 3.2 s, by its name, before it compares. (3) A host that knows no other and sees an order that it did not send is not in the majority for 30 s. (4) The log line `majority` and `certain=` in `order` tell "alone because all are gone" from "alone because nobody was found".

Ruled out: the engine alone as the arbiter. It answers 202 to an equal load that is under way, whoever sends it, so that a comparison right before the order shows nothing of one sent within the age of a report.

OwnedEngineRunnerTest.idleOwnerReadsTheCountAlthoughNoKnownHostIsSilent failed before (1 order instead of 0).

--- a/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
@@ -4,15 +4,20 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Decides whether a host is in the majority part of the network. All hosts count that are known to
  * run or that fell silent recently, as these may run in another part. Of two halves, the one with
- * the first host by name is the majority. At most one part of a partition is the majority.
+ * the first host by name is the majority. At most one part of a partition is the majority, as long
+ * as the hosts of the other parts fell silent recently. A part that is the majority only because
+ * the others have been silent for long is not a certain one: they may run where this host finds no
+ * trace of them.
  */
 public final class HostMajority {
 
@@ -33,6 +38,7 @@
   private final List<String> silent = new ArrayList<>();
 
   private final Map<String, Long> seedNamedAtMillis = new HashMap<>();
+  private OptionalLong orderedElsewhereAtMillis = OptionalLong.empty();
   private OptionalLong startedAtMillis = OptionalLong.empty();
   private boolean held;
   private boolean heldOnce;
@@ -65,7 +71,8 @@
     boolean hearsAll = neighbors.size() >= view.live().size();
     held =
         (hearsAll || hearsNeighbors(neighbors, nowMillis))
-            && reachesMajority(disconnected, hearsAll, nowMillis);
+            && reachesMajority(disconnected, hearsAll, nowMillis)
+            && !isOrderedElsewhere(nowMillis);
     if (held) {
       heldOnce = true;
       heldAtMillis = nowMillis;
@@ -77,6 +84,23 @@
     seeds.forEach(seed -> seedNamedAtMillis.putIfAbsent(seed, nowMillis));
   }
 
+  /** Indicates whether a host runs that this host, which knows no other, has not heard of. */
+  private boolean isOrderedElsewhere(long nowMillis) {
+    return view.live().isEmpty()
+        && orderedElsewhereAtMillis.isPresent()
+        && nowMillis - orderedElsewhereAtMillis.getAsLong() < SILENT_HOST_MILLIS
+        && !outnumbersAbsentHosts();
+  }
+
+  /**
+   * Records that an engine has accepted an order that this host did not send.
+   *
+   * @param nowMillis the current time, in milliseconds
+   */
+  public void recordOrderElsewhere(long nowMillis) {
+    orderedElsewhereAtMillis = OptionalLong.of(nowMillis);
+  }
+
   /**
    * Indicates whether as many hosts know this host as live as it has neighbors, where the neighbors
    * are only some of the hosts: the loss of the others is known only once it was gossiped. A silent
@@ -135,6 +159,38 @@
     return held && reachesAll;
   }
 
+  /**
+   * Returns whether this host would be in the majority even if all hosts ran that are named by the
+   * settings or were lost without a planned stop. Otherwise another part may act as the majority.
+   *
+   * @return whether no other part of the network can take itself for the majority
+   */
+  public boolean isCertain() {
+    return held && outnumbersAbsentHosts();
+  }
+
+  private boolean outnumbersAbsentHosts() {
+    if (reached.isEmpty()) {
+      return held;
+    }
+    if (reached.size() > silent.size() + view.lostCount() + seeds.size()) {
+      return true;
+    }
+    Set<String> absent = new HashSet<>(silent);
+    view.forEachLostSince(Long.MIN_VALUE, absent::add);
+    seeds.stream().filter(view::isUnknown).forEach(absent::add);
+    return isMajority(reached, absent);
+  }
+
+  /**
+   * Returns the seeds that were never heard.
+   *
+   * @return their names, separated by commas
+   */
+  public String describeUnheardSeeds() {
+    return seeds.stream().filter(view::isUnknown).collect(Collectors.joining(","));
+  }
+
   /**
    * Returns whether a host that another one knows is live, or is known here to have been lost. A
    * host that is late may know lost hosts as live for long.
--- a/core/src/main/java/org/lentilhinge/overlay/HostView.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostView.java
@@ -66,6 +66,10 @@
     return live.values();
   }
 
+  int lostCount() {
+    return lost.size();
+  }
+
   List<String> lost() {
     return new ArrayList<>(lost.keySet());
   }
--- a/core/src/test/java/org/lentilhinge/overlay/HostMajorityTest.java
+++ b/core/src/test/java/org/lentilhinge/overlay/HostMajorityTest.java
@@ -175,6 +175,40 @@
     assertTrue(isInMajority(simulation, last));
   }
 
+  // Guards against a part that takes itself for the whole because the others are silent for long.
+  @Test
+  public void majorityBySilenceAloneIsNotCertain() {
+    OverlaySimulation simulation = new OverlaySimulation(7, 8);
+    simulation.run(START_MILLIS);
+    Set<String> minority = Set.copyOf(simulation.names().subList(0, 3));
+    simulation.cut(minority);
+    simulation.run(START_MILLIS + SILENT_HOST_MILLIS);
+    for (String host : simulation.names()) {
+      assertTrue(isInMajority(simulation, host), host);
+      boolean certain = simulation.overlay(host).majority().isCertain();
+      assertEquals(certain, !minority.contains(host), host);
+    }
+    simulation.heal();
+    simulation.run(START_MILLIS);
+    for (String host : simulation.names()) {
+      assertTrue(simulation.overlay(host).majority().isCertain(), host);
+    }
+  }
+
+  // Guards against a host that goes on although another one, which it cannot find, orders engines.
+  @Test
+  public void orderOfUnknownHostShowsThatThisOneIsNotAlone() {
+    OverlaySimulation simulation = newHostWithDeadSeeds();
+    String host = simulation.names().get(3);
+    simulation.run(SILENT_HOST_MILLIS);
+    assertTrue(isInMajority(simulation, host));
+    simulation.overlay(host).majority().recordOrderElsewhere(simulation.now());
+    simulation.run(START_MILLIS);
+    assertFalse(isInMajority(simulation, host));
+    simulation.run(SILENT_HOST_MILLIS);
+    assertTrue(isInMajority(simulation, host));
+  }
+
   /** Starts the last of four hosts once the others, which are its seeds, have ended. */
   private static OverlaySimulation newHostWithDeadSeeds() {
     OverlaySimulation simulation = new OverlaySimulation(8, 4);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
@@ -46,6 +46,7 @@
   private final OwnedEngineLog log;
   private final Listener listener;
   private final OwnedOrders orders = new OwnedOrders();
+  private OptionalLong heldSinceMillis = OptionalLong.empty();
   private boolean inFlight;
   private boolean closed;
 
@@ -117,7 +118,11 @@
   /** Sends the next order if there is one and nothing speaks against it. */
   void sendNext() {
     long now = context.now();
-    if (inFlight || !listener.mayOrder() || !orders.hasNext(ownership.ownershipNumber())) {
+    if (!orders.hasNext(ownership.ownershipNumber())) {
+      heldSinceMillis = OptionalLong.empty();
+      return;
+    }
+    if (inFlight || !listener.mayOrder()) {
       return;
     }
     if (rules.isSuperseded()) {
@@ -134,9 +139,15 @@
       resolveDoubt();
       return;
     }
-    if (!ownership.isActive(now) && rules.needsReport()) {
-      reports.read("idle-owner");
-      return;
+    if (!ownership.isActive(now)) {
+      heldSinceMillis = OptionalLong.of(heldSinceMillis.orElse(now));
+      if (rules.isToBeHeld(now - heldSinceMillis.getAsLong())) {
+        return;
+      }
+      if (rules.needsReport()) {
+        reports.read("idle-owner");
+        return;
+      }
     }
     orders.takeNext(ownership.ownershipNumber(), now).ifPresent(this::send);
   }
@@ -154,6 +165,7 @@
 
   private void send(OwnedOrder order) {
     inFlight = true;
+    heldSinceMillis = OptionalLong.empty();
     ownership.recordOrderUnderWay(context.now());
     long expectedOrderCount = ownership.expectedOrderCount().orElse(0);
     long fencingToken = ownership.fencingToken().orElseThrow();
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.lentilhinge.identity.HostId;
 import org.lentilhinge.message.PeerMessage;
+import org.lentilhinge.overlay.HostMajority;
 import org.lentilhinge.overlay.HostOverlay;
 import org.lentilhinge.overlay.HostRecord;
 import org.lentilhinge.overlay.OverlayCommand;
@@ -24,6 +25,8 @@
   private final SettingsReload settingsReload;
   private Set<String> linkedHosts = Set.of();
   private long linkedGeneration = -1;
+  private boolean loggedHeld;
+  private boolean loggedCertain;
 
   /** Receives what affects the requests of other hosts. */
   interface Listener {
@@ -64,6 +67,7 @@
 
   void tick() {
     execute(overlay.onTick(context.now()));
+    logMajority();
     if (overlay.generation() != linkedGeneration) {
       updateLinkedHosts();
     }
@@ -110,6 +114,31 @@
     listener.onUnresponsive(host);
   }
 
+  /** Logs whether this host acts as the majority, and whether other hosts may do so unheard. */
+  private void logMajority() {
+    HostMajority majority = overlay.majority();
+    boolean held = majority.millisWithout(context.now()) == 0;
+    boolean certain = majority.isCertain();
+    if (held != loggedHeld || certain != loggedCertain) {
+      loggedHeld = held;
+      loggedCertain = certain;
+      context
+          .log()
+          .line(
+              "majority",
+              "held",
+              held,
+              "certain",
+              certain,
+              "live",
+              overlay.liveHosts().size() + 1,
+              "lost",
+              majority.lostAtMillis(Long.MIN_VALUE).size(),
+              "unheardSeeds",
+              majority.describeUnheardSeeds());
+    }
+  }
+
   private void execute(List<OverlayCommand> commands) {
     for (OverlayCommand command : commands) {
       if (command instanceof OverlayCommand.Send send) {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -30,6 +30,9 @@
   /** The delay of a second report read, in milliseconds; the first may miss the latest orders. */
   private static final long SECOND_READ_DELAY_MILLIS = 400;
 
+  /** The time in which the count may still rise by orders of former owners, in milliseconds. */
+  private static final long FIRST_COUNTS_MILLIS = 1_000;
+
   /** The time without a response of the engine after which an owner relinquishes it, in millis. */
   private static final long MAXIMUM_UNREACHABLE_MILLIS = 3_000;
 
@@ -286,7 +289,12 @@
       return;
     }
     ownership.recordOrderCount(report.acceptedOrders(), requestedAtMillis, now);
-    counts.recordCount(engine.incarnation(), report.acceptedOrders(), now);
+    boolean raised = counts.recordCount(engine.incarnation(), report.acceptedOrders(), now);
+    boolean orderedElsewhere =
+        wasOwner ? !ownership.isOwner() : raised && now - createdAtMillis > FIRST_COUNTS_MILLIS;
+    if (orderedElsewhere) {
+      state.hosts().majority().recordOrderElsewhere(now);
+    }
     ownershipRules.useCountsOfOtherHosts(report.acceptedOrders());
     int rank = state.ownerRanking(engine).indexOf(context.host());
     boolean acquired = !wasOwner && ownershipRules.tryTakeOver(rank);
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipEvidence.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipEvidence.java
@@ -14,6 +14,7 @@
  * @param hosts the number of live hosts, including this one
  * @param inMajority whether this host is in the majority of the hosts
  * @param whole whether no host is silent
+ * @param certain whether no other part of the network can act as the majority
  * @param revisionAgeMillis the age of the latest revision of the store, in milliseconds
  * @param atMillis the time at which this was known, in milliseconds
  */
@@ -24,6 +25,7 @@
     int hosts,
     boolean inMajority,
     boolean whole,
+    boolean certain,
     long revisionAgeMillis,
     long atMillis) {
 
@@ -52,6 +54,8 @@
             inMajority,
             "whole",
             whole,
+            "certain",
+            certain,
             "revisionAgeMs",
             revisionAgeMillis));
     return fields;
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnershipRules.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.lentilhinge.fleet.FleetEndpoint;
+import org.lentilhinge.lease.RendezvousHash;
 import org.lentilhinge.permit.EngineOwnership;
 import org.lentilhinge.permit.EngineSelector;
 import org.lentilhinge.permit.OrderCounts;
@@ -30,12 +31,24 @@
   /** The earliest retry for requests that need a host in the majority, in milliseconds. */
   private static final long ISOLATION_RETRY_MILLIS = 1_000;
 
+  /**
+   * The time for which the order of an idle owner is held back in an uncertain majority, in
+   * milliseconds. It covers the age of a report and the way of an order.
+   */
+  private static final long UNCERTAIN_HOLD_MILLIS = 1_200;
+
+  /** The additional time of a host in each further slot, so that two such hosts differ. */
+  private static final long UNCERTAIN_HOLD_SLOT_MILLIS = 1_000;
+
+  private static final int UNCERTAIN_HOLD_SLOTS = 3;
+
   private final HostContext context;
   private final HostState state;
   private final FleetEndpoint engine;
   private final EngineOwnership ownership;
   private final OrderCounts counts;
   private final OwnershipConsent consent;
+  private final long uncertainHoldMillis;
 
   OwnershipRules(
       HostContext context,
@@ -50,6 +63,7 @@
     this.ownership = ownership;
     this.counts = counts;
     this.consent = consent;
+    uncertainHoldMillis = uncertainHoldMillis(context.host());
   }
 
   /** Returns the time after a claim during which its host may send orders, in milliseconds. */
@@ -63,11 +77,31 @@
   }
 
   /**
-   * Indicates whether an idle owner has to compare the order count before its next order. While all
-   * hosts are in contact, none can own the engine without a claim that this host has heard.
+   * Indicates whether an idle owner has to compare the order count before its next order. A host
+   * that this one has never heard of can have taken the engine over once it was idle for the lease.
    */
   boolean needsReport() {
-    return !state.hosts().majority().isWhole() && !ownership.isCountConfirmed(context.now());
+    long now = context.now();
+    boolean recent =
+        state.hosts().majority().isWhole()
+            && now - ownership.unchangedSinceMillis() <= context.settings().bounds().leaseMillis();
+    return !recent && !ownership.isCountConfirmed(now);
+  }
+
+  /**
+   * Indicates whether an order of an idle owner has to wait because another part of the network may
+   * act as the majority, too. A request that reaches both parts makes both order at once, and a
+   * report shows the order of the other part only after some time.
+   *
+   * @param heldMillis the time for which the order has been held back, in milliseconds
+   */
+  boolean isToBeHeld(long heldMillis) {
+    return !state.hosts().majority().isCertain() && heldMillis < uncertainHoldMillis;
+  }
+
+  private static long uncertainHoldMillis(String host) {
+    long slot = Math.floorMod(RendezvousHash.hash(host), UNCERTAIN_HOLD_SLOTS);
+    return UNCERTAIN_HOLD_MILLIS + slot * UNCERTAIN_HOLD_SLOT_MILLIS;
   }
 
   /** Indicates whether an idle owner may have missed that it has lost the engine. */
@@ -183,6 +217,7 @@
         state.hosts().liveHosts().size() + 1,
         isInMajority(),
         state.hosts().majority().isWhole(),
+        state.hosts().majority().isCertain(),
         state.revisionAgeMillis(),
         now);
   }
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineRunnerTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/OwnedEngineRunnerTest.java
@@ -279,6 +279,22 @@
         });
   }
 
+  // Guards against an idle owner that orders beside a host of which it has never heard (review/7).
+  @Test
+  public void idleOwnerReadsTheCountAlthoughNoKnownHostIsSilent() {
+    onLoop(
+        () -> {
+          OwnedEngineFixture fixture = new OwnedEngineFixture(vertx);
+          fixture.waitAndTakeOver();
+          assertTrue(fixture.overlay.majority().isWhole());
+          fixture.waitMillis(ForwardFixture.settings().bounds().leaseMillis() + 500);
+          fixture.orderCount = 8;
+          fixture.submit("x");
+          assertEquals(fixture.orders.size(), 0);
+          assertFalse(fixture.runner.isOwner());
+        });
+  }
+
   @Test
   public void idleOwnerInTheMajorityOrdersAtOnce() {
     onLoop(
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedHost.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedHost.java
@@ -168,9 +168,9 @@
     return linkedHosts.contains(host);
   }
 
-  void loseLink(String peer) {
+  void loseLink(String peer, LinkFailure failure) {
     HostIncarnation incarnation = new HostIncarnation(new HostId(peer), 1);
-    overlay.onLinkChange(new LinkChange(incarnation, false, LinkFailure.SILENT));
+    overlay.onLinkChange(new LinkChange(incarnation, false, failure));
   }
 
   /** Requests a permit for an adapter of an engine, and uses it for a short time. */
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedNetwork.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedNetwork.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.lentilhinge.message.PeerMessage;
+import org.lentilhinge.runtime.peer.LinkFailure;
 
 /** Links between hosts, engines and the store, with delays and cuts in one direction each. */
 final class SimulatedNetwork {
@@ -120,7 +121,7 @@
 
   private void giveUpLink(String host, String peer) {
     lostLinks.put(link(host, peer), new LostLink());
-    loseLink(host, peer);
+    loseLink(host, peer, LinkFailure.SILENT);
   }
 
   /** Reports an undelivered message in the way of the links between real hosts. */
@@ -130,7 +131,7 @@
       return;
     }
     if (simulation.now() < lost.pausedUntilMillis) {
-      loseLink(host, peer);
+      loseLink(host, peer, LinkFailure.UNREACHABLE);
     } else if (!lost.connecting) {
       lost.connecting = true;
       simulation.schedule(
@@ -141,16 +142,16 @@
             lost.failures++;
             lost.pausedUntilMillis = simulation.now() + Math.min(MAXIMUM_PAUSE_MILLIS, pauseMillis);
             if (lostLinks.get(link(host, peer)) == lost) {
-              loseLink(host, peer);
+              loseLink(host, peer, LinkFailure.HANDSHAKE_TIMEOUT);
             }
           });
     }
   }
 
-  private void loseLink(String host, String peer) {
+  private void loseLink(String host, String peer, LinkFailure failure) {
     SimulatedHost process = hosts.get(host);
     if (process != null && process.isLinkedTo(peer)) {
-      process.execute(0, () -> process.loseLink(peer));
+      process.execute(0, () -> process.loseLink(peer, failure));
     }
   }
 
@@ -158,7 +159,9 @@
   void reset(String name) {
     for (SimulatedHost host : hosts.values()) {
       if (!host.name().equals(name) && !isCut(name, host.name())) {
-        simulation.schedule(latencyMillis(name, host.name()), () -> loseLink(host.name(), name));
+        simulation.schedule(
+            latencyMillis(name, host.name()),
+            () -> loseLink(host.name(), name, LinkFailure.CLOSED));
       }
     }
   }
@@ -183,7 +186,8 @@
       return;
     }
     if (!target.isRunning()) {
-      simulation.schedule(latencyMillis(from.name(), to), () -> loseLink(from.name(), to));
+      simulation.schedule(
+          latencyMillis(from.name(), to), () -> loseLink(from.name(), to, LinkFailure.UNREACHABLE));
       return;
     }
     Map<String, Long> arrivals =
