Let a host whose seeds refuse connections serve alone sooner

Cause: HostMajority takes each named seed that it never heard for one that may run for 30 s, whatever its machine answers.

Change: the links tell a refused connection (REFUSED: no process listens there) from one that cannot be established. A seed that refused one within the last 5 s counts for 7 s only, in which the settings file is read again and the seeds that it names then are contacted. A seed that does not respond keeps its 30 s, as a partition and a machine without power look the same. Such a majority is never a certain one, so that its orders are held back as before.

--- a/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
+++ b/core/src/main/java/org/lentilhinge/overlay/HostMajority.java
@@ -27,6 +27,16 @@
    */
   private static final long SILENT_HOST_MILLIS = 30_000;
 
+  /**
+   * The time after which a seed does not count that refuses connections, in milliseconds. Until
+   * then the settings may name hosts that have ended, and the current ones may not have been
+   * contacted.
+   */
+  private static final long REFUSING_SEED_MILLIS = 7_000;
+
+  /** The time for which a refused connection shows that no host runs there, in milliseconds. */
+  private static final long REFUSAL_MILLIS = 5_000;
+
   private final String self;
   private final Set<String> seeds;
   private final HostView view;
@@ -38,6 +48,7 @@
   private final List<String> silent = new ArrayList<>();
 
   private final Map<String, Long> seedNamedAtMillis = new HashMap<>();
+  private final Map<String, Long> seedRefusedAtMillis = new HashMap<>();
   private OptionalLong orderedElsewhereAtMillis = OptionalLong.empty();
   private OptionalLong startedAtMillis = OptionalLong.empty();
   private boolean held;
@@ -81,6 +92,7 @@
 
   private void updateSeeds(long nowMillis) {
     seedNamedAtMillis.keySet().retainAll(seeds);
+    seedRefusedAtMillis.keySet().retainAll(seeds);
     seeds.forEach(seed -> seedNamedAtMillis.putIfAbsent(seed, nowMillis));
   }
 
@@ -101,6 +113,27 @@
     orderedElsewhereAtMillis = OptionalLong.of(nowMillis);
   }
 
+  /**
+   * Records that a host refused a connection, so that no process listens there.
+   *
+   * @param host the host
+   * @param nowMillis the current time, in milliseconds
+   */
+  public void recordRefusal(String host, long nowMillis) {
+    if (seeds.contains(host)) {
+      seedRefusedAtMillis.put(host, nowMillis);
+    }
+  }
+
+  /**
+   * Records that a host did not respond, which says nothing of its process.
+   *
+   * @param host the host
+   */
+  public void recordNoResponse(String host) {
+    seedRefusedAtMillis.remove(host);
+  }
+
   /**
    * Indicates whether as many hosts know this host as live as it has neighbors, where the neighbors
    * are only some of the hosts: the loss of the others is known only once it was gossiped. A silent
@@ -133,7 +166,10 @@
   }
 
   private boolean mayRun(String seed, long nowMillis) {
-    return nowMillis - seedNamedAtMillis.getOrDefault(seed, nowMillis) < SILENT_HOST_MILLIS;
+    Long refusedAtMillis = seedRefusedAtMillis.get(seed);
+    boolean refuses = refusedAtMillis != null && nowMillis - refusedAtMillis < REFUSAL_MILLIS;
+    long namedMillis = nowMillis - seedNamedAtMillis.getOrDefault(seed, nowMillis);
+    return namedMillis < (refuses ? REFUSING_SEED_MILLIS : SILENT_HOST_MILLIS);
   }
 
   /**
@@ -183,12 +219,15 @@
   }
 
   /**
-   * Returns the seeds that were never heard.
+   * Returns the seeds that were never heard, with what is known of them, for the log.
    *
-   * @return their names, separated by commas
+   * @return alternating names and states, separated by colons and commas
    */
   public String describeUnheardSeeds() {
-    return seeds.stream().filter(view::isUnknown).collect(Collectors.joining(","));
+    return seeds.stream()
+        .filter(view::isUnknown)
+        .map(seed -> seed + (seedRefusedAtMillis.containsKey(seed) ? ":refused" : ":silent"))
+        .collect(Collectors.joining(","));
   }
 
   /**
--- a/core/src/test/java/org/lentilhinge/overlay/HostMajorityTest.java
+++ b/core/src/test/java/org/lentilhinge/overlay/HostMajorityTest.java
@@ -195,6 +195,34 @@
     }
   }
 
+  // Guards against a host that is alone and loads no adapters for 30 s (RECOVER).
+  @Test
+  public void seedsThatRefuseConnectionsCountForLessTime() {
+    OverlaySimulation simulation = newHostWithDeadSeeds();
+    String host = simulation.names().get(3);
+    HostMajority majority = simulation.overlay(host).majority();
+    for (long waited = 0; waited < 8_000; waited += 500, simulation.run(500)) {
+      assertFalse(waited < 7_000 && isInMajority(simulation, host), "after " + waited + " ms");
+      simulation.names().forEach(seed -> majority.recordRefusal(seed, simulation.now()));
+    }
+    assertTrue(isInMajority(simulation, host));
+    assertFalse(majority.isCertain());
+  }
+
+  @Test
+  public void seedsThatDoNotRespondCountAsRunning() {
+    OverlaySimulation simulation = newHostWithDeadSeeds();
+    String host = simulation.names().get(3);
+    HostMajority majority = simulation.overlay(host).majority();
+    simulation.names().forEach(seed -> majority.recordRefusal(seed, simulation.now()));
+    majority.recordNoResponse(simulation.names().get(0));
+    simulation.run(4_000);
+    simulation.names().forEach(seed -> majority.recordRefusal(seed, simulation.now()));
+    majority.recordNoResponse(simulation.names().get(0));
+    simulation.run(4_000);
+    assertFalse(isInMajority(simulation, host));
+  }
+
   // Guards against a host that goes on although another one, which it cannot find, orders engines.
   @Test
   public void orderOfUnknownHostShowsThatThisOneIsNotAlone() {
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OverlayRunner.java
@@ -107,6 +107,7 @@
     if (change.up() || routine) {
       return;
     }
+    recordFailure(host, change.failure());
     if (overlay.isConnected(host)) {
       context.log().line("link-lost", "peer", host, "why", change.failure());
     }
@@ -114,6 +115,14 @@
     listener.onUnresponsive(host);
   }
 
+  private void recordFailure(String host, LinkFailure failure) {
+    if (failure == LinkFailure.REFUSED) {
+      overlay.majority().recordRefusal(host, context.now());
+    } else if (failure == LinkFailure.HANDSHAKE_TIMEOUT || failure == LinkFailure.SILENT) {
+      overlay.majority().recordNoResponse(host);
+    }
+  }
+
   /** Logs whether this host acts as the majority, and whether other hosts may do so unheard. */
   private void logMajority() {
     HostMajority majority = overlay.majority();
--- a/runtime/src/main/java/org/lentilhinge/runtime/peer/LinkFailure.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/peer/LinkFailure.java
@@ -8,6 +8,8 @@
   CLOSED,
   /** No connection could be established. */
   UNREACHABLE,
+  /** The other machine refused the connection: no process listens at the address. */
+  REFUSED,
   /** Connecting and the handshake together exceeded their timeout. */
   HANDSHAKE_TIMEOUT,
   /** The other end uses a different version of the protocol. */
--- a/runtime/src/main/java/org/lentilhinge/runtime/peer/OutgoingLink.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/peer/OutgoingLink.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.AsyncResult;
 import io.vertx.core.net.NetSocket;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
@@ -20,6 +21,9 @@
   /** Limits the exponent of the backoff so that the shift cannot overflow. */
   private static final int MAXIMUM_DOUBLINGS = 20;
 
+  /** The text of ECONNREFUSED, for which Java has no exception of its own. */
+  private static final String CONNECTION_REFUSED = "Connection refused";
+
   private final PeerAddress peer;
   private final LinkEnvironment environment;
   private final PeerTimings timings;
@@ -116,12 +120,18 @@
         result.result().close();
       }
     } else if (result.failed()) {
-      fail(LinkFailure.UNREACHABLE);
+      fail(isRefused(result.cause()) ? LinkFailure.REFUSED : LinkFailure.UNREACHABLE);
     } else {
       startHandshake(result.result(), dialGeneration);
     }
   }
 
+  /** Other failures, such as a time-out, say nothing of the process at the other end. */
+  private static boolean isRefused(Throwable cause) {
+    return cause instanceof ConnectException
+        && String.valueOf(cause.getMessage()).startsWith(CONNECTION_REFUSED);
+  }
+
   private void startHandshake(NetSocket socket, int dialGeneration) {
     FrameStream frames =
         new FrameStream(
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedNetwork.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/SimulatedNetwork.java
@@ -187,7 +187,7 @@
     }
     if (!target.isRunning()) {
       simulation.schedule(
-          latencyMillis(from.name(), to), () -> loseLink(from.name(), to, LinkFailure.UNREACHABLE));
+          latencyMillis(from.name(), to), () -> loseLink(from.name(), to, LinkFailure.REFUSED));
       return;
     }
     Map<String, Long> arrivals =
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/StaleSeedsTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StaleSeedsTest.java
@@ -12,7 +12,8 @@
 
 /**
  * Tests a host that is added while the hosts that its seeds name are lost for good, and whose
- * settings do not change: it orders nothing beside an owner that it cannot find.
+ * settings do not change: it orders nothing beside an owner that it cannot find, and serves soon if
+ * all others are lost.
  */
 public class StaleSeedsTest {
 
@@ -24,6 +25,9 @@
   private static final long ADDED_MILLIS = 21_000;
   private static final long END_MILLIS = 110_000;
 
+  /** The time after its start in which a host that is alone has to order again (RECOVER). */
+  private static final long RECOVERY_MILLIS = 12_000;
+
   private final String added;
   private final List<String> others;
 
@@ -84,6 +88,26 @@
     assertEquals(String.join("\n", failures), "");
   }
 
+  // Guards against a host that serves no new adapter for 30 s after all others were lost.
+  @Test
+  public void hostThatIsAloneOrdersSoon() {
+    List<String> failures = new ArrayList<>();
+    for (long seed = 1; seed <= RUNS; seed++) {
+      Random random = new Random(seed);
+      OwnershipSimulation simulation = start(seed, random);
+      simulation.at(FAULT_MILLIS, () -> others.forEach(simulation::kill));
+      long endMillis = ADDED_MILLIS + RECOVERY_MILLIS;
+      for (long time = ADDED_MILLIS; time < endMillis; time += 200) {
+        request(simulation, time, added, "b" + time);
+      }
+      simulation.runUntil(endMillis);
+      if (!simulation.arrivals().hasArrivalSince(ENGINE, ADDED_MILLIS)) {
+        failures.add("seed " + seed);
+      }
+    }
+    assertEquals(String.join("\n", failures), "");
+  }
+
   // Guards against a host behind a partition that takes its silent seeds for ended ones.
   @Test
   public void hostThatIsCutOffDoesNotTakeItselfForTheOnlyOne() {
--- a/runtime/src/test/java/org/lentilhinge/runtime/peer/PeerNetworkTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/peer/PeerNetworkTest.java
@@ -6,6 +6,7 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.security.SecureRandom;
 import java.util.Arrays;
@@ -77,6 +78,19 @@
     PeerFixture.eventually(() -> amber.metrics.droppedMessages() == 1, "a counted dropped message");
   }
 
+  @Test
+  public void tellsRefusedConnectionFromOneThatCannotBeEstablished() throws IOException {
+    int unusedPort;
+    try (ServerSocket socket = new ServerSocket(0)) {
+      unusedPort = socket.getLocalPort();
+    }
+    amber.network.updatePeers(List.of(PeerFixture.address("cinder", unusedPort)));
+    fixture.advance(1);
+    PeerFixture.eventually(
+        () -> amber.metrics.endedLinks(LinkFailure.REFUSED) > 0, "a refused connection");
+    assertEquals(amber.metrics.endedLinks(LinkFailure.UNREACHABLE), 0);
+  }
+
   private static String incompressibleText(int length) {
     Random random = new Random(1);
     StringBuilder text = new StringBuilder();
