Report a refused connection also for messages dropped in its backoff

A link that is dialed again by its tick has no message queued and reports nothing; the messages in the backoff between two attempts were reported as UNREACHABLE.

Change: a message that is dropped in the backoff after a refused connection is reported as REFUSED.

--- a/runtime/src/main/java/org/lentilhinge/runtime/peer/OutgoingLink.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/peer/OutgoingLink.java
@@ -32,6 +32,10 @@
   private Optional<FrameStream> stream = Optional.empty();
   private Optional<HostIncarnation> establishedPeer = Optional.empty();
   private byte[] ownHelloBytes = new byte[0];
+
+  /** Whether the last attempt to connect was refused. */
+  private boolean refused;
+
   private boolean connecting;
   private boolean requested;
   private boolean stopped;
@@ -213,7 +217,7 @@
     boolean canQueue = establishedPeer.isPresent() || connecting;
     if (!canQueue || queue.size() >= environment.settings().maximumQueuedFrames()) {
       environment.metrics().recordDropped(1);
-      reportUndelivered(LinkFailure.UNREACHABLE);
+      reportUndelivered(refused ? LinkFailure.REFUSED : LinkFailure.UNREACHABLE);
       return false;
     }
     queue.add(message);
@@ -240,6 +244,7 @@
     }
     generation++;
     connecting = false;
+    refused = failure == LinkFailure.REFUSED;
     stream = Optional.empty();
     environment.metrics().recordEnded(failure);
     environment.metrics().recordDropped(queue.size());
--- a/runtime/src/test/java/org/lentilhinge/runtime/peer/PeerNetworkTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/peer/PeerNetworkTest.java
@@ -89,6 +89,9 @@
     PeerFixture.eventually(
         () -> amber.metrics.endedLinks(LinkFailure.REFUSED) > 0, "a refused connection");
     assertEquals(amber.metrics.endedLinks(LinkFailure.UNREACHABLE), 0);
+    // The next attempt is made after a pause, in which messages are dropped.
+    amber.send("cinder", "lost");
+    assertEquals(amber.nextChange().failure(), LinkFailure.REFUSED);
   }
 
   private static String incompressibleText(int length) {
