Apply changed limits of callers to connections that are open

Cause: CallerConnection took the limits when it was accepted, and the decoder its bounds of the head.

The decoder tells whether it is between two requests and is replaced then. The time-out of a caller that reads nothing follows.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerConnection.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
@@ -49,10 +48,16 @@
   /** Stands in the log for the id of a request whose response was complete. */
   private static final String NO_ID = "-";
 
+  private static final String DECODER = "requests";
+
   private final NetSocketInternal socket;
   private final CallerServer server;
-  private final ForwardLimits limits;
   private final Deque<CallerExchange> pipelined = new ArrayDeque<>();
+  private StrictRequestDecoder decoder;
+
+  /** The limits that hold for a request that has begun, or for the next one. */
+  private ForwardLimits limits;
+
   private Optional<HttpRequest> incomingRequest = Optional.empty();
   private ByteBuf body = Unpooled.EMPTY_BUFFER;
   private BodyMemory.Share bodyShare;
@@ -73,20 +78,17 @@
   private long lastActivityAtMillis;
   private long discardUntilMillis;
 
-  CallerConnection(NetSocket socket, CallerServer server, ForwardLimits limits, long nowMillis) {
+  CallerConnection(NetSocket socket, CallerServer server, long nowMillis) {
     this.socket = (NetSocketInternal) socket;
     this.server = server;
-    this.limits = limits;
+    this.limits = server.limits();
     this.bodyShare = server.memory().requestBodies().open();
     this.unsent = server.memory().responses().open(this::currentId, () -> abort("memory-full"));
     this.output = server.memory().slowCallers().open(new Progress(), limits.idleTimeoutMillis());
     this.lastActivityAtMillis = nowMillis;
-    HttpDecoderConfig config =
-        new HttpDecoderConfig()
-            .setMaxHeaderSize(limits.headerBytes())
-            .setMaxInitialLineLength(limits.headerBytes());
+    this.decoder = new StrictRequestDecoder(limits.headerBytes());
     ChannelPipeline pipeline = this.socket.channelHandlerContext().pipeline();
-    pipeline.addBefore("handler", "requests", new StrictRequestDecoder(config));
+    pipeline.addBefore("handler", DECODER, decoder);
     pipeline.addBefore("handler", "responses", new HttpResponseEncoder());
     this.socket.messageHandler(this::onMessage);
     this.socket.exceptionHandler(failure -> close());
@@ -99,6 +101,21 @@
     return open;
   }
 
+  /** Applies changed limits, unless a request is being received, which keeps its limits. */
+  void updateLimits() {
+    ForwardLimits current = server.limits();
+    boolean receiving = incomingRequest.isPresent() || !decoder.isBetweenRequests();
+    if (!open || rejecting || receiving || current.equals(limits)) {
+      return;
+    }
+    if (current.headerBytes() != limits.headerBytes()) {
+      decoder = new StrictRequestDecoder(current.headerBytes());
+      socket.channelHandlerContext().pipeline().replace(DECODER, DECODER, decoder);
+    }
+    limits = current;
+    output.setStallMillis(limits.idleTimeoutMillis());
+  }
+
   private String currentId() {
     return currentExchange
         .map(exchange -> server.memory().requestId(exchange.request()))
@@ -323,6 +340,7 @@
     lastActivityAtMillis = server.now();
     server.onRequestFinished();
     currentExchange = Optional.empty();
+    updateLimits();
     if (closing && discarding) {
       discardUntilMillis = lastActivityAtMillis + DISCARD_MILLIS;
       server.onConnectionClosing(discarded.future());
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerServer.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/CallerServer.java
@@ -28,6 +28,7 @@
 
   private final NetServer server;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
+  private final Supplier<ForwardLimits> limits;
   private final Consumer<CallerExchange> handler;
   private final BiConsumer<Integer, String> rejectionListener;
   private final LongSupplier clock;
@@ -41,7 +42,7 @@
    *
    * @param vertx creates the server socket
    * @param address the IP address and port to listen on
-   * @param limits supplies the limits that apply to a new connection
+   * @param limits supplies the limits that apply to the next request on each connection
    * @param clock the monotonic clock, in milliseconds
    * @param memory bounds the bytes of request bodies, and of responses that callers have not
    *     accepted yet
@@ -56,6 +57,7 @@
       HostMemory memory,
       Consumer<CallerExchange> handler,
       BiConsumer<Integer, String> rejectionListener) {
+    this.limits = limits;
     this.handler = handler;
     this.rejectionListener = rejectionListener;
     this.clock = clock;
@@ -70,9 +72,7 @@
                     .setAcceptBacklog(ACCEPT_BACKLOG)
                     .setTcpNoDelay(true))
             .connectHandler(
-                socket ->
-                    connections.add(
-                        new CallerConnection(socket, this, limits.get(), clock.getAsLong())));
+                socket -> connections.add(new CallerConnection(socket, this, clock.getAsLong())));
   }
 
   /**
@@ -84,6 +84,10 @@
     return server.listen().map(NetServer::actualPort);
   }
 
+  ForwardLimits limits() {
+    return limits.get();
+  }
+
   HostMemory memory() {
     return memory;
   }
@@ -155,9 +159,10 @@
     connections.remove(connection);
   }
 
-  /** Closes connections that have been idle for longer than the limits allow. */
+  /** Applies changed limits, and closes connections that are idle for longer than these allow. */
   public void closeExpiredConnections() {
     long now = clock.getAsLong();
+    connections.forEach(CallerConnection::updateLimits);
     List.copyOf(connections).forEach(connection -> connection.closeIfExpired(now));
     memory.slowCallers().closeStalled(now);
   }
--- a/runtime/src/main/java/org/lentilhinge/runtime/memory/SlowCallers.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/memory/SlowCallers.java
@@ -95,7 +95,7 @@
   public final class Output {
 
     private final Connection connection;
-    private final long stallMillis;
+    private long stallMillis;
     private Optional<Runnable> resumption = Optional.empty();
     private long bytes;
     private long progress;
@@ -106,6 +106,15 @@
       this.stallMillis = stallMillis;
     }
 
+    /**
+     * Changes the time without any progress after which the connection is closed.
+     *
+     * @param millis the time, in milliseconds
+     */
+    public void setStallMillis(long millis) {
+      stallMillis = millis;
+    }
+
     /**
      * Records how many bytes are held now.
      *
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/ForwardFixture.java
@@ -306,16 +306,21 @@
 
   /** Applies a configuration with the same routes that declares customers. */
   void declareCustomers(List<Customer> customers, long version) {
+    apply(version, configuration().limits(), new DeclaredCustomers(true, customers));
+  }
+
+  /** Applies a configuration with the same routes and other limits of callers. */
+  void changeLimits(ForwardLimits limits, long version) {
+    apply(version, limits, DeclaredCustomers.NONE);
+    closeExpiredConnections();
+  }
+
+  private void apply(long version, ForwardLimits limits, DeclaredCustomers customers) {
     ForwardConfiguration former = configuration();
-    onLoop(
-        () ->
-            state.applyConfiguration(
-                new ForwardConfiguration(
-                    new DeclaredVersion(version, new StoreRevision(0, version)),
-                    former.routes(),
-                    former.services(),
-                    former.limits(),
-                    new DeclaredCustomers(true, customers))));
+    DeclaredVersion declared = new DeclaredVersion(version, new StoreRevision(0, version));
+    ForwardConfiguration next =
+        new ForwardConfiguration(declared, former.routes(), former.services(), limits, customers);
+    onLoop(() -> state.applyConfiguration(next));
   }
 
   private static ForwardConfiguration configuration() {
@@ -467,14 +472,11 @@
 
   /** Starts a planned stop on the event loop. */
   void stop() {
-    CompletableFuture<Void> done = new CompletableFuture<>();
-    loop.runOnContext(
-        unused -> {
+    onLoop(
+        () -> {
           callerServer.stop();
           callerServer.closeIdle(SOCKET_TIMEOUT_MILLIS);
-          done.complete(null);
         });
-    done.join();
   }
 
   @Override
