Do not take the first count of an engine for an order of another host

What callers could see: a host that is alone and whose first report of an engine is more than 1 s late serves no new adapter for 30 s.

Cause: 1 s after the start of its scheduler any count above all known ones showed an order of another host, also the first one that was read.

Change: a count shows one only if an earlier one was read.

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/EngineOrderSender.java
@@ -46,7 +46,10 @@
   private final OwnedEngineLog log;
   private final Listener listener;
   private final OwnedOrders orders = new OwnedOrders();
+
+  /** The time since which the next order of an idle owner waits, in milliseconds. */
   private OptionalLong heldSinceMillis = OptionalLong.empty();
+
   private boolean inFlight;
   private boolean closed;
 
--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/OwnedEngineRunner.java
@@ -288,11 +288,11 @@
       markUnreachable("other-incarnation");
       return;
     }
+    boolean comparable = ownership.expectedOrderCount().isPresent();
     ownership.recordOrderCount(report.acceptedOrders(), requestedAtMillis, now);
     boolean raised = counts.recordCount(engine.incarnation(), report.acceptedOrders(), now);
-    boolean orderedElsewhere =
-        wasOwner ? !ownership.isOwner() : raised && now - createdAtMillis > FIRST_COUNTS_MILLIS;
-    if (orderedElsewhere) {
+    boolean raisedElsewhere = comparable && raised && now - createdAtMillis > FIRST_COUNTS_MILLIS;
+    if (wasOwner ? !ownership.isOwner() : raisedElsewhere) {
       state.hosts().majority().recordOrderElsewhere(now);
     }
     ownershipRules.useCountsOfOtherHosts(report.acceptedOrders());
--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/StaleSeedsTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StaleSeedsTest.java
@@ -91,11 +91,25 @@
   // Guards against a host that serves no new adapter for 30 s after all others were lost.
   @Test
   public void hostThatIsAloneOrdersSoon() {
+    checkOrderWhenAlone(0);
+  }
+
+  // Guards against a first reading of the count that is taken for an order of another host.
+  @Test
+  public void hostThatIsAloneOrdersSoonAlthoughItsFirstReportIsLate() {
+    checkOrderWhenAlone(3_000);
+  }
+
+  private void checkOrderWhenAlone(long silentMillis) {
+    OwnershipSimulation.Silence silence = new OwnershipSimulation.Silence(Set.of(ENGINE), 0, 0, 1);
     List<String> failures = new ArrayList<>();
     for (long seed = 1; seed <= RUNS; seed++) {
       Random random = new Random(seed);
       OwnershipSimulation simulation = start(seed, random);
       simulation.at(FAULT_MILLIS, () -> others.forEach(simulation::kill));
+      simulation.at(ADDED_MILLIS, () -> simulation.silence(silence));
+      simulation.at(
+          ADDED_MILLIS + silentMillis, () -> simulation.silence(OwnershipSimulation.Silence.NONE));
       long endMillis = ADDED_MILLIS + RECOVERY_MILLIS;
       for (long time = ADDED_MILLIS; time < endMillis; time += 200) {
         request(simulation, time, added, "b" + time);
