Add the cases of two parts that are asked at any two times, as red

What is left of review case 7: a host that finds no other, or a part of a partition after 30 s, and the owner may order within the age of a report of each other. The two cases differ from those that pass in the times of the requests alone, which are up to a round of 5 s apart instead of 120 ms.

Neither the engine's report, up to 0.4 s old, nor its answer to an equal load tells the two apart; that a first order which differs by host would is a suggestion, not tried.

--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/StaleSeedsTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StaleSeedsTest.java
@@ -24,6 +24,10 @@
   private static final long FAULT_MILLIS = 20_000;
   private static final long ADDED_MILLIS = 21_000;
   private static final long END_MILLIS = 110_000;
+  private static final int ROUND_MILLIS = 5_000;
+
+  /** The maximum time between two requests that one event causes, in milliseconds. */
+  private static final int SAME_REQUEST_MILLIS = 120;
 
   /** The time after its start in which a host that is alone has to order again (RECOVER). */
   private static final long RECOVERY_MILLIS = 12_000;
@@ -67,6 +71,16 @@
   // (review/7).
   @Test
   public void hostThatFindsNoOtherOrdersNothingBesideOwner() {
+    checkBesideOwner(SAME_REQUEST_MILLIS);
+  }
+
+  // Guards against orders of both within the age of a report, after requests at any two times.
+  @Test
+  public void hostThatFindsNoOtherOrdersNothingBesideOwnerAtAnyTime() {
+    checkBesideOwner(ROUND_MILLIS);
+  }
+
+  private void checkBesideOwner(int spreadMillis) {
     List<String> failures = new ArrayList<>();
     for (long seed = 1; seed <= RUNS; seed++) {
       Random random = new Random(seed);
@@ -74,10 +88,10 @@
       simulation.at(FAULT_MILLIS, () -> others.subList(0, LOST_SEEDS).forEach(simulation::kill));
       long fromMillis = ADDED_MILLIS + 4_000 + random.nextInt(36_000);
       int round = 0;
-      for (long time = fromMillis; time < END_MILLIS; time += 5_000) {
+      for (long time = fromMillis; time < END_MILLIS; time += ROUND_MILLIS) {
         request(simulation, time, added, "b" + round);
         String other = others.get(LOST_SEEDS + random.nextInt(others.size() - LOST_SEEDS));
-        request(simulation, time + random.nextInt(120), other, "b" + round);
+        request(simulation, time + random.nextInt(spreadMillis), other, "b" + round);
         round++;
       }
       simulation.runUntil(END_MILLIS);
@@ -138,11 +152,11 @@
             simulation.network().cut(new TreeSet<>(others), part, cutMillis);
           });
       int round = 0;
-      for (long time = ADDED_MILLIS + random.nextInt(5_000); time < 80_000; time += 5_000) {
+      for (long time = ADDED_MILLIS + random.nextInt(5_000); time < 80_000; time += ROUND_MILLIS) {
         request(simulation, time, added, "b" + round);
         request(
             simulation,
-            time + random.nextInt(120),
+            time + random.nextInt(SAME_REQUEST_MILLIS),
             others.get(random.nextInt(others.size())),
             "b" + round);
         round++;
@@ -158,6 +172,16 @@
   // Guards against a minority that orders once the hosts of the majority were silent for long.
   @Test
   public void partsOfLongPartitionDoNotOrderAtOnce() {
+    checkPartition(SAME_REQUEST_MILLIS);
+  }
+
+  // Guards against orders of both within the age of a report, after requests at any two times.
+  @Test
+  public void partsOfLongPartitionDoNotOrderAtOnceAtAnyTime() {
+    checkPartition(ROUND_MILLIS);
+  }
+
+  private void checkPartition(int spreadMillis) {
     List<String> failures = new ArrayList<>();
     for (long seed = 1; seed <= RUNS; seed++) {
       Random random = new Random(seed);
@@ -177,10 +201,10 @@
           });
       int round = 0;
       long fromMillis = cutMillis + random.nextInt(40_000);
-      for (long time = fromMillis; time < END_MILLIS; time += 5_000) {
+      for (long time = fromMillis; time < END_MILLIS; time += ROUND_MILLIS) {
         request(simulation, time, hosts.get(random.nextInt(size)), "b" + round);
         String other = hosts.get(size + random.nextInt(HOSTS - size));
-        request(simulation, time + random.nextInt(120), other, "b" + round);
+        request(simulation, time + random.nextInt(spreadMillis), other, "b" + round);
         round++;
       }
       simulation.runUntil(END_MILLIS);
