Serve while the port of the metrics is in use

Callers saw a host that did not start, or that did not come back after a restart, because another process on its machine used the metrics port.

Cause: ForwardHost#start failed as a whole if any port was in use, also the one that no caller needs.

ForwardServiceTest#servesWhileMetricsPortIsInUse failed before (no start within 30 s).

--- a/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
+++ b/runtime/src/main/java/org/lentilhinge/runtime/forward/ForwardHost.java
@@ -45,6 +45,7 @@
 import org.lentilhinge.resume.StreamOriginExchange;
 import org.lentilhinge.resume.StreamOriginNews;
 import org.lentilhinge.resume.StreamOriginQuery;
+import org.lentilhinge.runtime.listen.OptionalListener;
 import org.lentilhinge.runtime.metric.MetricExposition;
 import org.lentilhinge.runtime.peer.MessageCodec;
 import org.lentilhinge.runtime.peer.PeerMetrics;
@@ -103,7 +104,8 @@
   private final Forwarder forwarder;
   private final MessageHandlers handlers;
   private final CallerServer callerServer;
-  private final List<CallerServer> operationsServers;
+  private final CallerServer readinessServer;
+  private Optional<CallerServer> metricsServer = Optional.empty();
   private final Promise<Void> stopped = Promise.promise();
   private long ticks;
 
@@ -187,7 +189,7 @@
     forwarder = createForwarder(platform, relay);
     handlers = createHandlers();
     callerServer = createServer(settings.callerAddress(), forwarder::accept);
-    operationsServers = createOperationsServers(settings);
+    readinessServer = createServer(settings.readyAddress(), this::respondReadiness);
   }
 
   /**
@@ -271,17 +273,26 @@
         (status, reason) -> context.log().line("refuse", "status", status, "why", reason));
   }
 
-  private List<CallerServer> createOperationsServers(ForwardSettings settings) {
-    CallerServer readinessServer = createServer(settings.readyAddress(), this::respondReadiness);
-    if (settings.metricsPort() == 0) {
-      return List.of(readinessServer);
+  /** Opens the port of the metrics. Callers are served without it while the port is in use. */
+  private Future<Void> openMetrics() {
+    int port = context.settings().metricsPort();
+    if (port == 0) {
+      return Future.succeededFuture();
     }
+    String address = HostNames.ofAddress(context.settings().readyAddress()) + ':' + port;
     MetricExposition exposition = new MetricExposition(context.metrics());
-    String address = HostNames.ofAddress(settings.readyAddress()) + ':' + settings.metricsPort();
-    return List.of(
-        readinessServer,
+    return new OptionalListener(
+            context.vertx(),
+            () -> listenForMetrics(address, exposition),
+            new MetricsPortLog(context.log(), address))
+        .open();
+  }
+
+  private Future<?> listenForMetrics(String address, MetricExposition exposition) {
+    CallerServer server =
         createServer(
-            address, exchange -> exchange.respond(200, Optional.empty(), exposition.render())));
+            address, exchange -> exchange.respond(200, Optional.empty(), exposition.render()));
+    return server.listen().onSuccess(port -> metricsServer = Optional.of(server));
   }
 
   private void respondReadiness(CallerExchange exchange) {
@@ -298,13 +309,15 @@
   /**
    * Starts the host.
    *
-   * @return completes when the host listens on all ports; fails if a port is already in use
+   * @return completes when the host listens on all ports; fails if one of them is already in use,
+   *     other than the port of the metrics
    */
   public Future<Void> start() {
     return peers
         .start()
-        .compose(port -> Future.all(operationsServers.stream().map(CallerServer::listen).toList()))
-        .compose(ports -> callerServer.listen())
+        .compose(port -> readinessServer.listen())
+        .compose(port -> openMetrics())
+        .compose(unused -> callerServer.listen())
         .onSuccess(port -> loop.runOnContext(unused -> startTasks()))
         .mapEmpty();
   }
@@ -402,7 +415,8 @@
     departures.tick();
     connections.closeExpired();
     callerServer.closeExpiredConnections();
-    operationsServers.forEach(CallerServer::closeExpiredConnections);
+    readinessServer.closeExpiredConnections();
+    metricsServer.ifPresent(CallerServer::closeExpiredConnections);
   }
 
   /**
--- /dev/null
+++ b/runtime/src/main/java/org/lentilhinge/runtime/listen/package-info.java
@@ -0,0 +1,2 @@
+/** Listening sockets of a host. */
+package org.lentilhinge.runtime.listen;
--- a/tools/src/test/java/org/lentilhinge/tools/ForwardServiceTest.java
+++ b/tools/src/test/java/org/lentilhinge/tools/ForwardServiceTest.java
@@ -22,7 +22,10 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Tests that a running host of the forwarding path follows its settings file. */
+/**
+ * Tests that a running host of the forwarding path follows its settings file, and that it serves
+ * while its metrics port is in use.
+ */
 public class ForwardServiceTest {
 
   private static final long TIMEOUT_SECONDS = 30;
@@ -153,12 +156,8 @@
     AwaitingStream reloaded =
         await("event=reload seeds=" + LIVE_SEED + " applied=peer.seeds atNextStart=none");
     String text = settings(freeAddress());
-    Files.writeString(file, text);
-    PrintStream output = new PrintStream(new Broadcast(), true, StandardCharsets.UTF_8);
     StopSignal signal = StopSignal.onRequest();
-    ForwardService service = new ForwardService(new Console(output, output), signal);
-    CompletableFuture<Integer> exitCode =
-        CompletableFuture.supplyAsync(() -> service.run(file.toString(), text));
+    CompletableFuture<Integer> exitCode = run(text, signal);
     get(started.found);
     replacement.replace(file, text.replace(STALE_SEED, LIVE_SEED));
     get(reloaded.found);
@@ -166,6 +165,33 @@
     assertEquals((int) get(exitCode), ExitCode.DONE, "exit code");
   }
 
+  // Guards against a host that ends because another process uses its metrics port (review/7 beside
+  // another host at the same address).
+  @Test
+  public void servesWhileMetricsPortIsInUse() throws Exception {
+    AwaitingStream started = await("event=start");
+    AwaitingStream unavailable = await("event=metrics-unavailable");
+    AwaitingStream available = await("event=metrics-available");
+    StopSignal signal = StopSignal.onRequest();
+    CompletableFuture<Integer> exitCode;
+    try (ServerSocket other = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      String metrics = "[metrics]\nport = " + other.getLocalPort() + '\n';
+      exitCode = run(settings(freeAddress()) + metrics, signal);
+      get(unavailable.found);
+      get(started.found);
+    }
+    get(available.found);
+    signal.request();
+    assertEquals((int) get(exitCode), ExitCode.DONE, "exit code");
+  }
+
+  private CompletableFuture<Integer> run(String text, StopSignal signal) throws IOException {
+    Files.writeString(file, text);
+    PrintStream output = new PrintStream(new Broadcast(), true, StandardCharsets.UTF_8);
+    ForwardService service = new ForwardService(new Console(output, output), signal);
+    return CompletableFuture.supplyAsync(() -> service.run(file.toString(), text));
+  }
+
   private AwaitingStream await(String text) {
     AwaitingStream stream = new AwaitingStream(text);
     streams.add(stream);
