Test two owners of an engine with free slots, requests at any two times

The simulated engine of StaleSeedsTest was always full, so that the first order of each part was an unload anyway.

--- a/runtime/src/test/java/org/lentilhinge/runtime/forward/StaleSeedsTest.java
+++ b/runtime/src/test/java/org/lentilhinge/runtime/forward/StaleSeedsTest.java
@@ -30,6 +30,9 @@
   private static final long END_MILLIS = 110_000;
   private static final int ROUND_MILLIS = 5_000;
 
+  /** A number of adapters that leaves no slot of the engine free. */
+  private static final int MANY_ADAPTERS = 30;
+
   /** The maximum time between two requests that one event causes, in milliseconds. */
   private static final int SAME_REQUEST_MILLIS = 120;
 
@@ -50,15 +53,20 @@
     return new OwnershipSimulation(List.of(HOSTS), 1, seed, host -> OwnershipTrace.none());
   }
 
-  /** Starts all hosts but the added one, and has the engine owned by one of them. */
+  /** Starts all hosts but the added one, and has the engine filled by the owner among them. */
   private OwnershipSimulation start(long seed, Random random) {
+    return start(seed, random, MANY_ADAPTERS);
+  }
+
+  /** Starts all hosts but the added one, and has the engine owned by one of them. */
+  private OwnershipSimulation start(long seed, Random random, int adapters) {
     OwnershipSimulation simulation = newSimulation(seed);
     for (String host : others) {
       simulation.at(random.nextInt(300), () -> simulation.start(host));
     }
     for (long time = 3_000; time < FAULT_MILLIS; time += 100 + random.nextInt(300)) {
       String host = others.get(random.nextInt(others.size()));
-      simulation.at(time, () -> simulation.request(ENGINE, host));
+      request(simulation, time, host, "a" + random.nextInt(adapters));
     }
     simulation.at(ADDED_MILLIS, () -> simulation.start(added));
     return simulation;
@@ -93,11 +101,21 @@
     checkBesideOwner(ANY_TIME_RUNS, ROUND_MILLIS);
   }
 
+  // Guards against equal first loads of both, which need no unload where slots are free.
+  @Test
+  public void hostThatFindsNoOtherOrdersNothingBesideOwnerOfEngineWithFreeSlots() {
+    checkBesideOwner(ANY_TIME_RUNS, ROUND_MILLIS, 1);
+  }
+
   private void checkBesideOwner(int runs, int spreadMillis) {
+    checkBesideOwner(runs, spreadMillis, MANY_ADAPTERS);
+  }
+
+  private void checkBesideOwner(int runs, int spreadMillis, int adapters) {
     List<String> failures = new ArrayList<>();
     for (long seed = 1; seed <= runs; seed++) {
       Random random = new Random(seed);
-      OwnershipSimulation simulation = start(seed, random);
+      OwnershipSimulation simulation = start(seed, random, adapters);
       simulation.at(FAULT_MILLIS, () -> others.subList(0, LOST_SEEDS).forEach(simulation::kill));
       long fromMillis = ADDED_MILLIS + 4_000 + random.nextInt(36_000);
       int round = 0;
