Select the adapter to unload only when an unload is possible

The decisions are the same. EngineSchedulerTest, LoadAheadTest and UnloadFirstTest pass, in 25 s with their build; no test guards the cost.

--- a/core/src/main/java/org/lentilhinge/permit/SlotTurnover.java
+++ b/core/src/main/java/org/lentilhinge/permit/SlotTurnover.java
@@ -54,8 +54,7 @@
       return;
     }
     PermitRequest request = entry.request();
-    Optional<AdapterSlot> evicted = slots.evictionCandidate(requested, demand, nowMillis);
-    if (slots.free() > 0 && !mustUnloadFirst(evicted)) {
+    if (slots.free() > 0 && !mustUnloadFirst(requested, nowMillis)) {
       load(request.adapter(), request.version(), "absent", nowMillis, commands);
       return;
     }
@@ -63,6 +62,7 @@
       unclaimedSlots--;
       return;
     }
+    Optional<AdapterSlot> evicted = slots.evictionCandidate(requested, demand, nowMillis);
     if (evicted.isEmpty()
         && DrainingAdapter.isDue(entry.waitedMillis(nowMillis), queue.adaptersWithoutSlot(slots))) {
       evicted = draining.drainOne(slots, requested, running);
@@ -70,8 +70,10 @@
     evicted.ifPresent(slot -> unload(slot, "for:" + request.adapter(), commands));
   }
 
-  private boolean mustUnloadFirst(Optional<AdapterSlot> evicted) {
-    return unloadFirst && (evicted.isPresent() || slots.unloading() > 0);
+  private boolean mustUnloadFirst(Set<String> requested, long nowMillis) {
+    return unloadFirst
+        && (slots.unloading() > 0
+            || slots.evictionCandidate(requested, demand, nowMillis).isPresent());
   }
 
   /**
@@ -89,12 +91,12 @@
     if (busy || slots.find(adapter).isPresent()) {
       return;
     }
-    Optional<AdapterSlot> evicted = slots.evictionCandidate(requested, demand, nowMillis);
-    if (slots.free() > 0 && !mustUnloadFirst(evicted)) {
+    if (slots.free() > 0 && !mustUnloadFirst(requested, nowMillis)) {
       load(adapter, version, "demand", nowMillis, commands);
       return;
     }
-    evicted
+    slots
+        .evictionCandidate(requested, demand, nowMillis)
         .filter(slot -> demand.weight(slot.adapter, nowMillis) < weight)
         .ifPresent(slot -> unload(slot, "for:" + adapter, commands));
   }
